--- a/bench/capacity/channel_slopes.cc
+++ b/bench/capacity/channel_slopes.cc
@@ -4,7 +4,7 @@
 
 #include "comfreyvane/member/member_message.h"
 #include "comfreyvane/net/json_text.h"
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/peer/peer_channel.h"
 #include "comfreyvane/wire/member_codec.h"
 #include "measure.h"
--- a/bench/capacity/wire_size.cc
+++ b/bench/capacity/wire_size.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <vector>
 
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/peer/peer_channel.h"
 #include "comfreyvane/peer/peer_stamp.h"
 #include "comfreyvane/rpc/notification_batch.h"
--- /dev/null
+++ b/src/comfreyvane/edge/backend_choice.h
@@ -0,0 +1,25 @@
+/// @file
+/// A chosen backend server.
+#ifndef COMFREYVANE_EDGE_BACKEND_CHOICE_H_
+#define COMFREYVANE_EDGE_BACKEND_CHOICE_H_
+
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
+#include "comfreyvane/base/time.h"
+#include "comfreyvane/route/distance.h"
+
+namespace comfreyvane {
+
+/// A chosen backend server and what decided the choice.
+struct BackendChoice {
+  BackendServerId server;
+  Distance distance = Distance::kSameFailureDomain;
+  bool warm = false;  ///< It has handled the object for this host of late.
+  Duration expected{};  ///< Time until its answer, without the network.
+
+  friend bool operator==(const BackendChoice&, const BackendChoice&) = default;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_BACKEND_CHOICE_H_
--- /dev/null
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -0,0 +1,299 @@
+#include "comfreyvane/edge/backend_picker.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "comfreyvane/base/hash.h"
+
+namespace comfreyvane {
+namespace {
+
+/// Largest change of the part of requests that leave the region, in a second:
+/// a third of the bound of 0.15 in two seconds is left for noise.
+constexpr double kSpillStep = 0.05;
+
+/// Time for which failures of servers in the region lift that bound.
+constexpr Duration kSpillRelease = std::chrono::seconds(4);
+
+/// What a server farther away costs beyond its delay, as time: the price of
+/// traffic between failure domains and between regions.
+constexpr double kSameRegionCostMs = 60.0;
+constexpr double kOtherRegionCostMs = 250.0;
+
+/// Weight of the preference by rendezvous hashing, milliseconds.
+constexpr double kRendezvousCostMs = 60.0;
+
+/// Part of the expected time that a full server adds.
+constexpr double kLoadCost = 0.3;
+
+/// Times the expected time that a silent server adds.
+constexpr double kSuspectCost = 3.0;
+
+/// Most rate that is taken in at once: what a server sends in an answer.
+double Milliseconds(Duration span) {
+  return std::chrono::duration<double, std::milli>(span).count();
+}
+
+double Unit(std::uint64_t hash) {
+  return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+}
+
+}  // namespace
+
+BackendPicker::BackendPicker(
+    Location self,
+    std::unordered_map<FailureDomainId, RegionId> regions)
+    : self_(self), regions_(std::move(regions)), spill_(kSpillStep) {}
+
+void BackendPicker::Upsert(const BackendEntry& entry, TimePoint now) {
+  const BackendServerId id = entry.id();
+  const auto found = states_.find(id);
+  if (found != states_.end()) {
+    Slot& slot = *found->second;
+    const ServiceId before = slot.state.entry().service;
+    slot.state.Update(entry, now);
+    slot.distance = DistanceOf(entry.failure_domain);
+    if (before != entry.service) {
+      std::erase(by_service_[before], &slot);
+      by_service_[entry.service].push_back(&slot);
+    }
+    return;
+  }
+  const auto region = regions_.find(entry.failure_domain);
+  auto slot = std::make_unique<Slot>(
+      Slot{BackendState(entry, now), DistanceOf(entry.failure_domain),
+           region == regions_.end() ? RegionId() : region->second});
+  by_service_[entry.service].push_back(slot.get());
+  states_.emplace(id, std::move(slot));
+}
+
+void BackendPicker::Remove(BackendServerId server, TimePoint now) {
+  const auto found = states_.find(server);
+  if (found == states_.end())
+    return;
+  found->second->state.Leave();
+  if (found->second->region == self_.region)
+    spill_.Release(now + kSpillRelease);
+}
+
+void BackendPicker::Prune() {
+  for (auto it = states_.begin(); it != states_.end();) {
+    const BackendState& state = it->second->state;
+    // Entries that drain stay, to be recognised while they are listed.
+    const bool idle = state.leaving() && !state.entry().draining;
+    if (idle && state.own() == 0) {
+      std::erase(by_service_[state.entry().service], it->second.get());
+      it = states_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void BackendPicker::SetEvacuated(
+    const std::unordered_set<FailureDomainId>& domains,
+    const std::unordered_map<ServiceId, Duration>& cold_times,
+    TimePoint now) {
+  for (auto& [id, slot] : states_) {
+    const BackendEntry& entry = slot->state.entry();
+    const bool returns = evacuated_.contains(entry.failure_domain) &&
+                         !domains.contains(entry.failure_domain);
+    const auto cold = cold_times.find(entry.service);
+    if (returns && cold != cold_times.end())
+      slot->state.SetCold(cold->second, now);
+  }
+  if (domains != evacuated_)
+    spill_.Release(now + kSpillRelease);
+  evacuated_ = domains;
+}
+
+void BackendPicker::SetColdRate(BackendServerId server, double rate) {
+  const auto found = states_.find(server);
+  if (found != states_.end())
+    found->second->cold_rate = rate;
+}
+
+std::optional<BackendChoice> BackendPicker::Pick(const PickRequest& request,
+                                                 TimePoint now) const {
+  const auto found = by_service_.find(request.service);
+  if (found == by_service_.end())
+    return std::nullopt;
+  const Duration warm =
+      latencies_.Expected(request.kind, true, request.objective);
+  const Duration cold =
+      latencies_.Expected(request.kind, false, request.objective);
+  struct Best {
+    const Slot* slot = nullptr;
+    double cost = 0.0;
+    bool warm = false;
+  };
+  Best near;
+  Best far;
+  for (const Slot* slot : found->second) {
+    if (!Usable(*slot, request, now))
+      continue;
+    const bool is_warm =
+        request.object == 0 || slot->state.IsWarm(request.object, now);
+    const double cost = Cost(*slot, request, is_warm ? warm : cold, now);
+    Best& best = slot->distance == Distance::kOtherRegion ? far : near;
+    if (best.slot == nullptr || cost < best.cost)
+      best = {slot, cost, is_warm};
+  }
+  const bool may_leave = far.slot != nullptr && spill_.MayLeave(now);
+  const bool leaves = near.slot == nullptr || far.cost < near.cost ||
+                      spill_.ShouldLeave(now);
+  const Best& best = may_leave && leaves ? far : near;
+  if (best.slot == nullptr)
+    return std::nullopt;
+  const double expected =
+      static_cast<double>((best.warm ? warm : cold).count()) *
+      best.slot->state.slowness();
+  return BackendChoice{best.slot->state.entry().id(), best.slot->distance,
+                       best.warm,
+                       Duration(static_cast<Duration::rep>(expected))};
+}
+
+bool BackendPicker::Usable(const Slot& slot,
+                           const PickRequest& request,
+                           TimePoint now) const {
+  const BackendState& state = slot.state;
+  const BackendEntry& entry = state.entry();
+  if (state.leaving() || state.IsEjected(now) ||
+      evacuated_.contains(entry.failure_domain))
+    return false;
+  if (state.own() + state.Others(now) + 1.0 > entry.slots + 0.5)
+    return false;
+  if (state.IsCold(now) && !state.HasColdToken(slot.cold_rate, now))
+    return false;
+  if (!request.regions.empty() &&
+      std::find(request.regions.begin(), request.regions.end(), slot.region) ==
+          request.regions.end())
+    return false;
+  return std::find(request.excluded.begin(), request.excluded.end(),
+                   entry.id()) == request.excluded.end();
+}
+
+double BackendPicker::Cost(const Slot& slot,
+                           const PickRequest& request,
+                           Duration expected,
+                           TimePoint now) const {
+  const BackendState& state = slot.state;
+  const double work = Milliseconds(expected) * state.slowness();
+  const double load = (state.own() + state.Others(now)) /
+                      std::max(1U, state.entry().slots);
+  double cost = work * (1.0 + kLoadCost * load * load);
+  if (slot.distance == Distance::kSameRegion)
+    cost += kSameRegionCostMs;
+  else if (slot.distance == Distance::kOtherRegion)
+    cost += kOtherRegionCostMs;
+  if (request.object != 0) {
+    const std::uint64_t hash =
+        HashPair(request.object, state.entry().id().value());
+    cost += kRendezvousCostMs * Unit(hash);
+  }
+  if (state.IsSuspect(expected, now))
+    cost += kSuspectCost * work;
+  return cost;
+}
+
+bool BackendPicker::OnStarted(BackendServerId server, TimePoint now) {
+  const auto found = states_.find(server);
+  if (found == states_.end())
+    return false;
+  Slot& slot = *found->second;
+  if (slot.state.leaving() ||
+      evacuated_.contains(slot.state.entry().failure_domain))
+    return false;
+  if (slot.state.IsCold(now) && !slot.state.TakeColdToken(slot.cold_rate, now))
+    return false;
+  slot.state.OnStarted(now);
+  spill_.OnSent(slot.distance == Distance::kOtherRegion, now);
+  return true;
+}
+
+void BackendPicker::OnFinished(const BackendChoice& choice,
+                               const PickRequest& request,
+                               RequestOutcome outcome,
+                               Duration latency,
+                               TimePoint now) {
+  const auto found = states_.find(choice.server);
+  if (found == states_.end())
+    return;
+  BackendState& state = found->second->state;
+  const Duration expected =
+      latencies_.Expected(request.kind, choice.warm, request.objective);
+  if (outcome == RequestOutcome::kOk) {
+    const Duration ordinary(static_cast<Duration::rep>(
+        static_cast<double>(latency.count()) / state.slowness()));
+    latencies_.Add(request.kind, choice.warm, ordinary);
+  }
+  const bool ejected = state.IsEjected(now);
+  state.OnFinished(outcome, latency, expected, request.object, now);
+  if (!ejected && state.IsEjected(now) &&
+      found->second->region == self_.region &&
+      outcome != RequestOutcome::kShed)
+    spill_.Release(now + kSpillRelease);
+}
+
+void BackendPicker::OnLoad(BackendServerId server,
+                           const LoadReport& report,
+                           TimePoint now) {
+  const auto found = states_.find(server);
+  if (found != states_.end())
+    found->second->state.OnLoad(report, now);
+}
+
+void BackendPicker::OnPeerUse(const std::vector<BackendUse>& use,
+                              TimePoint now) {
+  for (const BackendUse& one : use) {
+    const auto found = states_.find(one.server);
+    if (found != states_.end())
+      found->second->state.OnPeerUse(one.running, now);
+  }
+}
+
+const BackendState* BackendPicker::Find(BackendServerId server) const {
+  const auto found = states_.find(server);
+  return found == states_.end() ? nullptr : &found->second->state;
+}
+
+Duration BackendPicker::ExpectedWarm(const PickRequest& request) const {
+  return latencies_.Expected(request.kind, true, request.objective);
+}
+
+std::vector<BackendUse> BackendPicker::Use() const {
+  std::vector<BackendUse> use;
+  for (const auto& [id, slot] : states_) {
+    if (slot->state.own() > 0)
+      use.push_back({id, slot->state.own()});
+  }
+  return use;
+}
+
+std::vector<BackendServerId> BackendPicker::Cold(TimePoint now) const {
+  std::vector<BackendServerId> cold;
+  for (const auto& [id, slot] : states_) {
+    if (slot->state.IsCold(now))
+      cold.push_back(id);
+  }
+  return cold;
+}
+
+bool BackendPicker::HasServers(ServiceId service) const {
+  const auto found = by_service_.find(service);
+  return found != by_service_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [](const Slot* slot) { return !slot->state.leaving(); });
+}
+
+Distance BackendPicker::DistanceOf(FailureDomainId domain) const {
+  if (domain == self_.failure_domain)
+    return Distance::kSameFailureDomain;
+  const auto found = regions_.find(domain);
+  return found != regions_.end() && found->second == self_.region
+             ? Distance::kSameRegion
+             : Distance::kOtherRegion;
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -0,0 +1,118 @@
+/// @file
+/// Chooses the backend server of each request.
+#ifndef COMFREYVANE_EDGE_BACKEND_PICKER_H_
+#define COMFREYVANE_EDGE_BACKEND_PICKER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "comfreyvane/edge/backend_choice.h"
+#include "comfreyvane/edge/backend_entry.h"
+#include "comfreyvane/edge/backend_state.h"
+#include "comfreyvane/edge/backend_use.h"
+#include "comfreyvane/edge/latency_model.h"
+#include "comfreyvane/edge/pick_request.h"
+#include "comfreyvane/edge/spill_ramp.h"
+
+namespace comfreyvane {
+
+/// Chooses the backend server of each request of one host: the one with room
+/// whose answer is expected first. The expectation counts whether the server
+/// has the request's object warm, its speed and load, and the way there. Among
+/// servers that are alike, all hosts prefer the same ones for an object by
+/// rendezvous hashing, so that each object is warm at few servers.
+class BackendPicker {
+ public:
+  /// Where this host is.
+  struct Location {
+    FailureDomainId failure_domain;
+    RegionId region;
+  };
+
+  /// @param regions region of each failure domain.
+  BackendPicker(Location self,
+                std::unordered_map<FailureDomainId, RegionId> regions);
+
+  /// Adds a backend server or takes over its changed entry.
+  void Upsert(const BackendEntry& entry, TimePoint now);
+  /// Takes a server that the registry no longer lists out of use.
+  void Remove(BackendServerId server, TimePoint now);
+  /// Forgets servers that have left and run nothing of this host.
+  void Prune();
+
+  /// Replaces the failure domains whose servers get no requests. Servers of a
+  /// domain that returns count as cold.
+  void SetEvacuated(const std::unordered_set<FailureDomainId>& domains,
+                    const std::unordered_map<ServiceId, Duration>& cold_times,
+                    TimePoint now);
+
+  /// Sets what cold servers of a service take from this host.
+  /// @param rate requests/s; 0: none.
+  void SetColdRate(BackendServerId server, double rate);
+
+  /// Decides where a request runs. Does not count it: call OnStarted.
+  /// @return nothing if no server has room.
+  [[nodiscard]] std::optional<BackendChoice> Pick(const PickRequest& request,
+                                                  TimePoint now) const;
+
+  /// Counts a request that is about to be sent.
+  /// @return false if the server has left since, or is cold and at its limit:
+  ///     the request must not be sent; it is not counted.
+  [[nodiscard]] bool OnStarted(BackendServerId server, TimePoint now);
+
+  /// Ends a request that OnStarted has counted.
+  void OnFinished(const BackendChoice& choice,
+                  const PickRequest& request,
+                  RequestOutcome outcome,
+                  Duration latency,
+                  TimePoint now);
+
+  void OnLoad(BackendServerId server, const LoadReport& report, TimePoint now);
+  /// @param use of all other hosts together.
+  void OnPeerUse(const std::vector<BackendUse>& use, TimePoint now);
+
+  [[nodiscard]] const BackendState* Find(BackendServerId server) const;
+  /// @return expected time at a warm server of ordinary speed.
+  [[nodiscard]] Duration ExpectedWarm(const PickRequest& request) const;
+  /// @return requests of this host by server, only those in use.
+  [[nodiscard]] std::vector<BackendUse> Use() const;
+  /// @return cold servers that are in use or may be.
+  [[nodiscard]] std::vector<BackendServerId> Cold(TimePoint now) const;
+  /// @return whether a service has a server that may be used now or soon.
+  [[nodiscard]] bool HasServers(ServiceId service) const;
+  [[nodiscard]] std::size_t size() const { return states_.size(); }
+  [[nodiscard]] double spilled_part() const { return spill_.part(); }
+
+ private:
+  struct Slot {
+    BackendState state;
+    Distance distance = Distance::kOtherRegion;
+    RegionId region;
+    double cold_rate = 0.0;
+  };
+
+  [[nodiscard]] Distance DistanceOf(FailureDomainId domain) const;
+  [[nodiscard]] bool Usable(const Slot& slot,
+                            const PickRequest& request,
+                            TimePoint now) const;
+  [[nodiscard]] double Cost(const Slot& slot,
+                            const PickRequest& request,
+                            Duration expected,
+                            TimePoint now) const;
+
+  Location self_;
+  std::unordered_map<FailureDomainId, RegionId> regions_;
+  std::unordered_map<BackendServerId, std::unique_ptr<Slot>> states_;
+  std::unordered_map<ServiceId, std::vector<Slot*>> by_service_;
+  std::unordered_set<FailureDomainId> evacuated_;
+  LatencyModel latencies_;
+  SpillRamp spill_;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_BACKEND_PICKER_H_
--- /dev/null
+++ b/src/comfreyvane/edge/edge_route.h
@@ -0,0 +1,37 @@
+/// @file
+/// A route of the edge.
+#ifndef COMFREYVANE_EDGE_EDGE_ROUTE_H_
+#define COMFREYVANE_EDGE_EDGE_ROUTE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
+#include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/service_share.h"
+
+namespace comfreyvane {
+
+/// How requests of one host name and path prefix are served.
+struct EdgeRoute {
+  std::string name;
+  std::string host;    ///< Name in the Host field.
+  std::string prefix;  ///< Begins and ends with a slash.
+  std::vector<ServiceShare> services;
+  bool idempotent = false;  ///< May run more than once.
+  bool open = false;        ///< Needs no key.
+  bool sticky = false;      ///< Backend servers keep objects warm.
+  std::uint32_t priority = 0;  ///< 0 is the most urgent.
+  std::uint32_t max_attempts = 1;
+  Duration timeout{};
+  Duration objective{};  ///< Answers within it have their full value.
+  std::vector<RegionId> regions;  ///< Where it may be served; empty: anywhere.
+
+  friend bool operator==(const EdgeRoute&, const EdgeRoute&) = default;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_EDGE_ROUTE_H_
--- /dev/null
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -0,0 +1,144 @@
+#include "comfreyvane/edge/fleet_view.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "comfreyvane/base/hash.h"
+
+namespace comfreyvane {
+namespace {
+
+/// A host that was not heard for so long serves no callers: three heartbeats
+/// and the delay between regions.
+constexpr Duration kSilence = std::chrono::milliseconds(1800);
+
+/// Time in which a host that is newly listed must be heard.
+constexpr Duration kFirstHeard = std::chrono::seconds(2);
+
+/// A host that is newly listed takes its share of limits only after the others
+/// have read the list too.
+constexpr Duration kShareDelay = std::chrono::seconds(3);
+
+/// Part of its share that it has until then.
+constexpr double kFirstSharePart = 0.25;
+
+/// Hosts that may send requests to one cold server.
+constexpr std::size_t kColdOwners = 3;
+
+constexpr std::size_t kFewestAddresses = 2;
+
+}  // namespace
+
+FleetView::FleetView(FleetHost self) : self_(std::move(self)) {}
+
+void FleetView::OnListed(const std::vector<FleetHost>& hosts, TimePoint now) {
+  std::map<HostId, Member> next;
+  for (const FleetHost& host : hosts) {
+    const auto found = hosts_.find(host.id());
+    if (found != hosts_.end()) {
+      Member member = found->second;
+      member.host = host;
+      next.emplace(host.id(), std::move(member));
+    } else {
+      next.emplace(host.id(), Member{.host = host, .listed = now});
+    }
+  }
+  hosts_ = std::move(next);
+}
+
+void FleetView::OnHeard(HostId host, bool leaving, TimePoint now) {
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end())
+    return;
+  found->second.heard = now;
+  found->second.leaving = leaving;
+}
+
+std::vector<FleetHost> FleetView::Peers() const {
+  std::vector<FleetHost> peers;
+  for (const auto& [id, member] : hosts_) {
+    if (id != self_.id())
+      peers.push_back(member.host);
+  }
+  return peers;
+}
+
+bool FleetView::IsServing(const Member& member, TimePoint now) {
+  if (member.leaving)
+    return false;
+  if (member.heard == TimePoint{})
+    return now - member.listed < kFirstHeard;
+  return now - member.heard < kSilence;
+}
+
+std::vector<FleetHost> FleetView::Serving(bool self_leaving,
+                                          TimePoint now) const {
+  std::vector<FleetHost> serving;
+  if (!self_leaving)
+    serving.push_back(self_);
+  for (const auto& [id, member] : hosts_) {
+    if (id != self_.id() && IsServing(member, now))
+      serving.push_back(member.host);
+  }
+  // An answer without a host would be taken for a failure.
+  if (serving.empty())
+    serving.push_back(self_);
+  return serving;
+}
+
+std::vector<std::string> FleetView::AddressesFor(
+    const std::string& region,
+    const std::string& failure_domain,
+    bool self_leaving,
+    TimePoint now) const {
+  const std::vector<FleetHost> serving = Serving(self_leaving, now);
+  std::vector<std::string> in_domain;
+  std::vector<std::string> in_region;
+  std::vector<std::string> all;
+  for (const FleetHost& host : serving) {
+    all.push_back(host.caller_address);
+    if (host.region == region)
+      in_region.push_back(host.caller_address);
+    if (host.failure_domain == failure_domain)
+      in_domain.push_back(host.caller_address);
+  }
+  std::vector<std::string> addresses = std::move(in_domain);
+  if (addresses.size() < kFewestAddresses)
+    addresses = std::move(in_region);
+  if (addresses.size() < kFewestAddresses)
+    addresses = std::move(all);
+  std::sort(addresses.begin(), addresses.end());
+  return addresses;
+}
+
+double FleetView::Share(TimePoint now) const {
+  const auto found = hosts_.find(self_.id());
+  if (found == hosts_.end())
+    return 0.0;
+  const double share = 1.0 / static_cast<double>(hosts_.size());
+  const bool settled = now - found->second.listed >= kShareDelay;
+  return settled ? share : kFirstSharePart * share;
+}
+
+double FleetView::ColdShare(BackendServerId server) const {
+  std::vector<std::pair<std::uint64_t, HostId>> ranks;
+  for (const auto& [id, member] : hosts_) {
+    if (!member.leaving)
+      ranks.emplace_back(HashPair(server.value(), id.value()), id);
+  }
+  const std::size_t owners = std::min(kColdOwners, ranks.size());
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(owners),
+                    ranks.end());
+  for (std::size_t i = 0; i < owners; ++i) {
+    if (ranks[i].second == self_.id())
+      return 1.0 / static_cast<double>(owners);
+  }
+  return 0.0;
+}
+
+bool FleetView::IsListed() const {
+  return hosts_.contains(self_.id());
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -0,0 +1,73 @@
+/// @file
+/// The hosts of the fleet as one host sees them.
+#ifndef COMFREYVANE_EDGE_FLEET_VIEW_H_
+#define COMFREYVANE_EDGE_FLEET_VIEW_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
+#include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/fleet_host.h"
+
+namespace comfreyvane {
+
+/// The hosts that are listed in the store, and which of them are heard.
+class FleetView {
+ public:
+  explicit FleetView(FleetHost self);
+
+  [[nodiscard]] const FleetHost& self() const { return self_; }
+
+  /// Replaces the list of hosts.
+  void OnListed(const std::vector<FleetHost>& hosts, TimePoint now);
+
+  /// Takes in a heartbeat.
+  /// @param leaving the host is about to stop.
+  void OnHeard(HostId host, bool leaving, TimePoint now);
+
+  /// @return all other hosts that are listed.
+  [[nodiscard]] std::vector<FleetHost> Peers() const;
+
+  /// @return hosts that serve callers, this one first.
+  /// @param self_leaving this host is about to stop.
+  [[nodiscard]] std::vector<FleetHost> Serving(bool self_leaving,
+                                               TimePoint now) const;
+
+  /// @return addresses for callers of a region: the region's hosts, or all
+  ///     where it has fewer than two.
+  [[nodiscard]] std::vector<std::string> AddressesFor(
+      const std::string& region,
+      const std::string& failure_domain,
+      bool self_leaving,
+      TimePoint now) const;
+
+  /// @return this host's part of what all hosts share, 0 to 1.
+  [[nodiscard]] double Share(TimePoint now) const;
+
+  /// @return this host's part of what a cold server may get from all hosts;
+  ///     a few hosts, the same in the view of each, have equal parts.
+  [[nodiscard]] double ColdShare(BackendServerId server) const;
+
+  [[nodiscard]] bool IsListed() const;
+  [[nodiscard]] std::size_t size() const { return hosts_.size(); }
+
+ private:
+  struct Member {
+    FleetHost host;
+    TimePoint listed{};
+    TimePoint heard{};
+    bool leaving = false;
+  };
+
+  [[nodiscard]] static bool IsServing(const Member& member, TimePoint now);
+
+  FleetHost self_;
+  std::map<HostId, Member> hosts_;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_FLEET_VIEW_H_
--- /dev/null
+++ b/src/comfreyvane/edge/fwd.h
@@ -0,0 +1,33 @@
+/// @file
+/// Forward declarations of package edge.
+#ifndef COMFREYVANE_EDGE_FWD_H_
+#define COMFREYVANE_EDGE_FWD_H_
+
+namespace comfreyvane {
+
+struct AdmissionTicket;
+struct BackendChoice;
+struct BackendEntry;
+struct BackendUse;
+struct CallerLimits;
+struct EdgeRoute;
+struct EdgeService;
+struct EdgeWorkspace;
+struct FleetHost;
+struct PickRequest;
+struct ServiceShare;
+class AdmissionQueue;
+class BackendPicker;
+class BackendState;
+class FleetView;
+class LatencyModel;
+class PoisonGuard;
+class RegistryTracker;
+class RouteTable;
+class ShareSplitter;
+class SpillRamp;
+class WorkspaceLimiter;
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_FWD_H_
--- /dev/null
+++ b/src/comfreyvane/edge/pick_request.h
@@ -0,0 +1,30 @@
+/// @file
+/// What the choice of a backend server needs to know of a request.
+#ifndef COMFREYVANE_EDGE_PICK_REQUEST_H_
+#define COMFREYVANE_EDGE_PICK_REQUEST_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
+#include "comfreyvane/base/time.h"
+
+namespace comfreyvane {
+
+/// What the choice of a backend server needs to know of a request.
+struct PickRequest {
+  ServiceId service;
+  std::uint64_t kind = 0;    ///< Key of LatencyModel.
+  std::uint64_t object = 0;  ///< What the request is about; 0: unknown.
+  bool idempotent = false;
+  Duration objective{};  ///< First estimate of the time at a server.
+  std::vector<RegionId> regions;  ///< Where it may run; empty: anywhere.
+  std::vector<BackendServerId> excluded;  ///< Tried already.
+
+  friend bool operator==(const PickRequest&, const PickRequest&) = default;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_PICK_REQUEST_H_
--- /dev/null
+++ b/src/comfreyvane/edge/registry_tracker.h
@@ -0,0 +1,45 @@
+/// @file
+/// Decides when an entry of the registry is gone.
+#ifndef COMFREYVANE_EDGE_REGISTRY_TRACKER_H_
+#define COMFREYVANE_EDGE_REGISTRY_TRACKER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "comfreyvane/base/time.h"
+
+namespace comfreyvane {
+
+/// Decides when an entry that the registry no longer lists is gone. While the
+/// store is away entries lapse although their owners live, and come back
+/// shortly after it returns; until then they count as listed.
+class RegistryTracker {
+ public:
+  /// Notes that a call to the store failed.
+  void OnStoreFailure(TimePoint now) { last_failure_ = now; }
+
+  /// Notes an entry that was read.
+  void OnListed(const std::string& key);
+  /// Notes an entry that was deleted.
+  void OnDeleted(const std::string& key, TimePoint now);
+  /// Notes a read of all entries: those that are missing in it were deleted.
+  void OnWhole(const std::vector<std::string>& keys, TimePoint now);
+
+  /// @return entries that are gone as of now, each once.
+  [[nodiscard]] std::vector<std::string> TakeGone(TimePoint now);
+
+  /// @return when TakeGone has something next; max if nothing is pending.
+  [[nodiscard]] TimePoint NextGone() const;
+
+ private:
+  [[nodiscard]] TimePoint GoneAt(TimePoint now) const;
+
+  TimePoint last_failure_{};
+  /// When an entry that is not listed is gone; max for a listed one.
+  std::map<std::string, TimePoint> gone_at_;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_REGISTRY_TRACKER_H_
--- /dev/null
+++ b/src/comfreyvane/edge/spill_ramp.h
@@ -0,0 +1,45 @@
+/// @file
+/// Bounds how fast requests move between regions.
+#ifndef COMFREYVANE_EDGE_SPILL_RAMP_H_
+#define COMFREYVANE_EDGE_SPILL_RAMP_H_
+
+#include <cstdint>
+
+#include "comfreyvane/base/time.h"
+
+namespace comfreyvane {
+
+/// Bounds how fast the part of requests that run outside this host's region
+/// changes: from one interval to the next it moves by at most one step, up or
+/// down.
+class SpillRamp {
+ public:
+  /// @param step largest change of the part in one interval, 0 to 1.
+  explicit SpillRamp(double step) : step_(step) {}
+
+  /// @return whether another request may leave the region.
+  [[nodiscard]] bool MayLeave(TimePoint now) const;
+
+  /// @return whether too few have left for the part to be within a step.
+  [[nodiscard]] bool ShouldLeave(TimePoint now) const;
+
+  /// Counts a request that was sent.
+  void OnSent(bool left_region, TimePoint now);
+
+  /// Lifts the bound for a while: servers of the region have failed.
+  void Release(TimePoint until) { released_until_ = until; }
+
+  [[nodiscard]] double part() const { return part_; }
+
+ private:
+  double step_;
+  double part_ = 0.0;  ///< Of the last interval.
+  std::uint32_t sent_ = 0;
+  std::uint32_t left_ = 0;
+  TimePoint interval_end_{};
+  TimePoint released_until_{};
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_SPILL_RAMP_H_
--- /dev/null
+++ b/src/comfreyvane/gateway/backend_call.cc
@@ -0,0 +1,279 @@
+#include "comfreyvane/gateway/backend_call.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "comfreyvane/gateway/message_heads.h"
+#include "comfreyvane/net/clock.h"
+#include "comfreyvane/net/streamed_message.h"
+
+namespace comfreyvane {
+namespace {
+
+/// Time for a connection: two round trips between regions and the handshake.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+/// Idle time after which a pooled connection is not used, below the usual idle
+/// timeout of servers.
+constexpr Duration kIdleLimit = std::chrono::seconds(6);
+
+/// Part of the idle timeout that a server announces which is relied on.
+constexpr double kAnnouncedPart = 0.6;
+
+/// Time beyond the deadline for an answer that the server gives at it.
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(120);
+
+/// Bytes of an answer that are held before any of it is passed on.
+constexpr std::size_t kHeldBytes = 256 * 1024;
+constexpr std::size_t kPartBytes = 16 * 1024;
+
+/// Answers to earlier requests that are passed over on a connection.
+constexpr int kMostStrayAnswers = 2;
+
+constexpr unsigned kSuccessClass = 2;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstServerError = 500;
+
+Duration AnnouncedIdle(const boost::beast::http::response_header<>& head) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto field = head[boost::beast::http::field::keep_alive];
+  const std::string_view text(field.data(), field.size());
+  const auto at = text.find(kTimeout);
+  if (at == std::string_view::npos)
+    return Duration::max();
+  int seconds = 0;
+  const char* const begin = text.data() + at + kTimeout.size();
+  const auto [end, error] =
+      std::from_chars(begin, text.data() + text.size(), seconds);
+  if (error != std::errc() || end == begin)
+    return Duration::max();
+  return Duration(static_cast<Duration::rep>(
+      kAnnouncedPart * static_cast<double>(
+                           Duration(std::chrono::seconds(seconds)).count())));
+}
+
+}  // namespace
+
+struct BackendCall::Attempt {
+  const GatewayRequest& request;
+  std::unique_ptr<BackendConnection> connection{};
+  bool pooled = false;
+  bool cancelled = false;
+  bool sent = false;
+  CallResult result{};
+};
+
+BackendCall::BackendCall(GatewayContext& context,
+                         asio::io_context& io,
+                         TimeoutSweeper& sweeper)
+    : context_(context), io_(io), sweeper_(sweeper), pool_(kIdleLimit) {}
+
+TimePoint BackendCall::AnswerDeadline(const GatewayRequest& request) {
+  return request.deadline + kAnswerGrace;
+}
+
+asio::awaitable<CallResult> BackendCall::Try(
+    const GatewayRequest& request,
+    const RequestHead& head,
+    BackendServerId server,
+    std::function<void(std::function<void()>)> watch,
+    std::function<void()> unwatch) {
+  Attempt attempt{.request = request};
+  const BackendState* const state = context_.backends.Find(server);
+  if (state == nullptr)
+    co_return std::move(attempt.result);
+  const BackendEntry entry = state->entry();
+  watch([&attempt] {
+    attempt.cancelled = true;
+    if (attempt.connection)
+      attempt.connection->Cancel();
+  });
+  attempt.connection = pool_.Take(server, MonotonicNow());
+  attempt.pooled = attempt.connection != nullptr;
+  if (!attempt.pooled)
+    co_await Connect(attempt, entry);
+  if (attempt.connection && !attempt.cancelled)
+    co_await Send(attempt, head, entry);
+  unwatch();
+  if (attempt.cancelled) {
+    attempt.result.caller_gone = true;
+    attempt.result.head.reset();
+    attempt.result.outcome = RequestOutcome::kCancelled;
+    attempt.result.reason = RefusalReason::kCallerGone;
+    attempt.connection.reset();
+  }
+  attempt.result.connection = std::move(attempt.connection);
+  co_return std::move(attempt.result);
+}
+
+asio::awaitable<void> BackendCall::Connect(Attempt& attempt,
+                                           const BackendEntry& entry) {
+  error_code error;
+  const auto address = asio::ip::make_address(entry.address, error);
+  if (error)
+    co_return;
+  const TimePoint begun = MonotonicNow();
+  attempt.connection = std::make_unique<BackendConnection>(io_, sweeper_);
+  attempt.connection->AllowUnframedAnswers();
+  const ExchangeFailure failure = co_await attempt.connection->Connect(
+      {address, entry.port},
+      std::min(attempt.request.deadline, begun + kConnectTimeout));
+  if (failure != ExchangeFailure::kNone) {
+    attempt.connection.reset();
+    co_return;
+  }
+  const TimePoint now = MonotonicNow();
+  context_.metrics.Count(CounterName::kBackendConnections);
+  context_.metrics.Record(LatencyName::kBackendConnect, now - begun, now);
+}
+
+asio::awaitable<void> BackendCall::Send(Attempt& attempt,
+                                        const RequestHead& head,
+                                        const BackendEntry& entry) {
+  const GatewayRequest& request = attempt.request;
+  CallResult& result = attempt.result;
+  const TimePoint now = MonotonicNow();
+  if (now >= request.deadline) {
+    result.reason = RefusalReason::kDeadlinePassed;
+    result.outcome = RequestOutcome::kCancelled;
+    co_return;
+  }
+  StreamedMessage<true> message(HeadToBackend(head, request, entry.name,
+                                              request.deadline - now,
+                                              context_.headers));
+  const ExchangeFailure failure = co_await attempt.connection->Write(
+      message, request.body, true, request.deadline);
+  attempt.sent = message.bytes_written() > 0;
+  result.run_state = attempt.sent ? RunState::kUnknown : RunState::kNotRun;
+  if (failure != ExchangeFailure::kNone) {
+    OnFailure(attempt, failure);
+    co_return;
+  }
+  co_await ReadAnswer(attempt);
+}
+
+asio::awaitable<void> BackendCall::ReadAnswer(Attempt& attempt) {
+  const GatewayRequest& request = attempt.request;
+  CallResult& result = attempt.result;
+  for (int stray = 0;; ++stray) {
+    const ExchangeFailure failure = co_await attempt.connection->ReadHead(
+        request.to_head, AnswerDeadline(request));
+    if (failure != ExchangeFailure::kNone) {
+      OnFailure(attempt, failure);
+      co_return;
+    }
+    const auto& head = attempt.connection->answer().get().base();
+    const auto id = head[context_.headers.request_id];
+    const bool own = id == request.id ||
+                     (id.empty() && head.count(context_.headers.not_run) > 0);
+    if (own)
+      break;
+    // An answer to an earlier request stands where this one is due.
+    context_.metrics.Count(CounterName::kStrayAnswers);
+    if (stray == kMostStrayAnswers || !co_await SkipBody(attempt)) {
+      OnFailure(attempt, ExchangeFailure::kMalformed);
+      co_return;
+    }
+  }
+  result.head = attempt.connection->answer().get().base();
+  co_await ReadBody(attempt);
+  if (result.head)
+    Judge(attempt);
+}
+
+asio::awaitable<bool> BackendCall::SkipBody(Attempt& attempt) {
+  BackendConnection& connection = *attempt.connection;
+  std::string part(kPartBytes, '\0');
+  for (std::size_t skipped = 0; !connection.answer().is_done();) {
+    const BodyChunk chunk =
+        co_await connection.ReadBody(part, AnswerDeadline(attempt.request));
+    skipped += chunk.size;
+    if (chunk.failure != ExchangeFailure::kNone || skipped > kHeldBytes)
+      co_return false;
+  }
+  co_return !connection.answer().need_eof();
+}
+
+asio::awaitable<void> BackendCall::ReadBody(Attempt& attempt) {
+  CallResult& result = attempt.result;
+  BackendConnection& connection = *attempt.connection;
+  result.complete = connection.answer().is_done();
+  while (!result.complete && result.body.size() < kHeldBytes) {
+    const std::size_t held = result.body.size();
+    result.body.resize(held + kPartBytes);
+    const BodyChunk chunk = co_await connection.ReadBody(
+        std::span(result.body).subspan(held), AnswerDeadline(attempt.request));
+    result.body.resize(held + chunk.size);
+    if (chunk.failure != ExchangeFailure::kNone) {
+      result.head.reset();
+      result.body.clear();
+      OnFailure(attempt, chunk.failure);
+      co_return;
+    }
+    result.complete = chunk.last;
+  }
+}
+
+void BackendCall::OnFailure(Attempt& attempt, ExchangeFailure failure) {
+  CallResult& result = attempt.result;
+  const bool late = MonotonicNow() >= attempt.request.deadline;
+  attempt.connection->Close();
+  switch (failure) {
+    case ExchangeFailure::kTimeout:
+      result.reason = RefusalReason::kBackendTimeout;
+      result.outcome = RequestOutcome::kTimeout;
+      break;
+    case ExchangeFailure::kMalformed:
+    case ExchangeFailure::kTooLarge:
+      result.reason = RefusalReason::kBackendMalformed;
+      result.outcome = RequestOutcome::kFailed;
+      break;
+    case ExchangeFailure::kNone:
+    case ExchangeFailure::kClosed:
+      result.reason = RefusalReason::kBackendClosed;
+      result.outcome = RequestOutcome::kFailed;
+      result.broken_off = attempt.sent;
+      break;
+  }
+  if (late && result.run_state != RunState::kNotRun)
+    result.reason = RefusalReason::kBackendTimeout;
+}
+
+void BackendCall::Judge(Attempt& attempt) {
+  CallResult& result = attempt.result;
+  const auto& head = *result.head;
+  const unsigned status = head.result_int();
+  result.load = LoadOf(head, context_.headers);
+  const bool not_run =
+      head.count(context_.headers.not_run) > 0 || status == kMisdirected;
+  if (not_run) {
+    result.run_state = RunState::kNotRun;
+    result.reason = RefusalReason::kQueueFull;
+    result.outcome = status == kMisdirected ? RequestOutcome::kConnectFailed
+                                            : RequestOutcome::kShed;
+    return;
+  }
+  result.run_state = RunState::kRan;
+  attempt.connection->SetIdleLimit(AnnouncedIdle(head));
+  const bool success = status / 100 == kSuccessClass;
+  if (success && head.count(context_.headers.seal) == 0) {
+    // Not the answer of a backend server to this request.
+    result.head.reset();
+    result.run_state = RunState::kUnknown;
+    OnFailure(attempt, ExchangeFailure::kMalformed);
+    return;
+  }
+  result.outcome = status >= kFirstServerError ? RequestOutcome::kFailed
+                                               : RequestOutcome::kOk;
+}
+
+void BackendCall::Keep(BackendServerId server,
+                       std::unique_ptr<BackendConnection> connection,
+                       TimePoint now) {
+  if (connection && connection->reusable())
+    pool_.Give(server, std::move(connection), now);
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/call_result.h
@@ -0,0 +1,38 @@
+/// @file
+/// How an attempt at a backend server ended.
+#ifndef COMFREYVANE_GATEWAY_CALL_RESULT_H_
+#define COMFREYVANE_GATEWAY_CALL_RESULT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "comfreyvane/base/refusal_reason.h"
+#include "comfreyvane/base/run_state.h"
+#include "comfreyvane/net/backend_connection.h"
+#include "comfreyvane/route/load_report.h"
+#include "comfreyvane/route/request_outcome.h"
+
+namespace comfreyvane {
+
+/// How an attempt at a backend server ended.
+struct CallResult {
+  /// The head of the answer, if one came; the rest is in `body` and, unless
+  /// `complete`, still to be read from `connection`.
+  std::optional<boost::beast::http::response_header<>> head;
+  std::string body;
+  bool complete = false;
+  std::unique_ptr<BackendConnection> connection;
+
+  /// Without an answer: why, and whether the request may have run.
+  RefusalReason reason = RefusalReason::kBackendConnectFailed;
+  RunState run_state = RunState::kNotRun;
+  RequestOutcome outcome = RequestOutcome::kConnectFailed;
+  bool caller_gone = false;
+  bool broken_off = false;  ///< The server closed while it had the request.
+  std::optional<LoadReport> load;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_GATEWAY_CALL_RESULT_H_
--- /dev/null
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -0,0 +1,144 @@
+#include "comfreyvane/gateway/fleet_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+#include <limits>
+
+namespace comfreyvane {
+namespace {
+
+namespace json = boost::json;
+
+std::string Text(const json::object& object, std::string_view name) {
+  return std::string(object.at(name).as_string());
+}
+
+template <typename Number>
+Number NumberOf(const json::value& value) {
+  return value.to_number<Number>();
+}
+
+json::array Pairs(const std::vector<BackendUse>& use) {
+  json::array rows;
+  for (const BackendUse& one : use)
+    rows.push_back(json::array{one.server.value(), one.running});
+  return rows;
+}
+
+json::array Pairs(const std::vector<SuspectReport>& suspects) {
+  json::array rows;
+  for (const SuspectReport& one : suspects)
+    rows.push_back(json::array{one.fingerprint, one.count});
+  return rows;
+}
+
+json::array Pairs(const std::vector<TokenAmount>& amounts) {
+  json::array rows;
+  for (const TokenAmount& one : amounts)
+    rows.push_back(json::array{one.workspace.value(), one.tokens});
+  return rows;
+}
+
+/// @param make called with the two numbers of each pair.
+template <typename Make>
+auto ReadPairs(const json::object& object, std::string_view name, Make make) {
+  std::vector<decltype(make(0, 0))> result;
+  const json::value* const rows = object.if_contains(name);
+  if (rows == nullptr)
+    return result;
+  for (const json::value& row : rows->as_array()) {
+    const json::array& pair = row.as_array();
+    result.push_back(make(NumberOf<std::uint64_t>(pair.at(0)),
+                          NumberOf<std::uint32_t>(pair.at(1))));
+  }
+  return result;
+}
+
+/// Runs a reader that throws on a value of another form.
+template <typename Result, typename Read>
+std::optional<Result> Parsed(std::string_view text, Read read) {
+  boost::json::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object())
+    return std::nullopt;
+  try {
+    return read(value.as_object());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+template <typename Rows>
+void AddPairs(json::object& object, std::string_view name, const Rows& rows) {
+  if (!rows.empty())
+    object[name] = Pairs(rows);
+}
+
+}  // namespace
+
+std::string FleetHostText(const FleetHost& host) {
+  return json::serialize(json::object{{"name", host.name},
+                                      {"region", host.region},
+                                      {"failure_domain", host.failure_domain},
+                                      {"caller_address", host.caller_address},
+                                      {"peer_address", host.peer_address},
+                                      {"peer_port", host.peer_port},
+                                      {"weight", host.weight}});
+}
+
+std::optional<FleetHost> ParseFleetHost(std::string_view text) {
+  return Parsed<FleetHost>(text, [](const json::object& object) {
+    return FleetHost{Text(object, "name"),
+                     Text(object, "region"),
+                     Text(object, "failure_domain"),
+                     Text(object, "caller_address"),
+                     Text(object, "peer_address"),
+                     NumberOf<std::uint16_t>(object.at("peer_port")),
+                     NumberOf<double>(object.at("weight"))};
+  });
+}
+
+std::string HeartbeatText(const Heartbeat& heartbeat) {
+  json::object object{{"host", heartbeat.host},
+                      {"incarnation", heartbeat.incarnation},
+                      {"sequence", heartbeat.sequence},
+                      {"configuration", heartbeat.configuration}};
+  if (heartbeat.leaving)
+    object["leaving"] = true;
+  AddPairs(object, "use", heartbeat.use);
+  AddPairs(object, "suspects", heartbeat.suspects);
+  AddPairs(object, "wanted", heartbeat.wanted);
+  AddPairs(object, "given", heartbeat.given);
+  return json::serialize(object);
+}
+
+std::optional<Heartbeat> ParseHeartbeat(std::string_view text) {
+  return Parsed<Heartbeat>(text, [](const json::object& object) {
+    const auto amount = [](std::uint64_t id, std::uint32_t tokens) {
+      return TokenAmount{WorkspaceId(id), tokens};
+    };
+    Heartbeat heartbeat;
+    heartbeat.host = Text(object, "host");
+    heartbeat.incarnation = NumberOf<std::uint64_t>(object.at("incarnation"));
+    heartbeat.sequence = NumberOf<std::uint64_t>(object.at("sequence"));
+    heartbeat.configuration =
+        NumberOf<std::uint64_t>(object.at("configuration"));
+    heartbeat.leaving = object.contains("leaving");
+    heartbeat.use =
+        ReadPairs(object, "use", [](std::uint64_t id, std::uint32_t running) {
+          return BackendUse{BackendServerId(id), running};
+        });
+    heartbeat.suspects = ReadPairs(
+        object, "suspects", [](std::uint64_t print, std::uint32_t count) {
+          return SuspectReport{print, count};
+        });
+    heartbeat.wanted = ReadPairs(object, "wanted", amount);
+    heartbeat.given = ReadPairs(object, "given", amount);
+    return heartbeat;
+  });
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -0,0 +1,290 @@
+#include "comfreyvane/gateway/gateway_handler.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+#include "comfreyvane/base/hash.h"
+#include "comfreyvane/gateway/message_heads.h"
+#include "comfreyvane/log/log.h"
+
+namespace comfreyvane {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Servers that one request may fail to connect to.
+constexpr std::uint32_t kMostConnectFailures = 3;
+
+/// Part of the host's memory that request bodies may take.
+constexpr std::size_t kBodyMemoryPart = 4;
+constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
+
+/// Part of the retry budget that is used, so that requests counted differently
+/// at the edges of a window do not exceed it.
+constexpr double kRetryBudgetPart = 0.8;
+
+/// Part of the expected time that must be left for another attempt.
+constexpr double kLeastTimePart = 0.5;
+
+/// Wait before a patient caller may come back where nothing better is known.
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
+
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kFirstOwnCode = 499;
+
+unsigned StatusOf(const Refusal& refusal) {
+  const unsigned status = HttpStatus(refusal.reason);
+  if (refusal.run_state == RunState::kNotRun)
+    return status >= kFirstOwnCode ? kServiceUnavailable : status;
+  const bool timed_out = refusal.reason == RefusalReason::kBackendTimeout ||
+                         refusal.reason == RefusalReason::kDeadlinePassed;
+  return timed_out ? kGatewayTimeout : kBadGateway;
+}
+
+bool ComesBack(unsigned status) {
+  constexpr unsigned kTooManyRequests = 429;
+  return status == kServiceUnavailable || status == kTooManyRequests;
+}
+
+std::string SecondsText(Duration span) {
+  std::array<char, 32> text{};
+  const double seconds = std::chrono::duration<double>(span).count();
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.2f", seconds);
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+GatewayRequest GatewayHandler::Start(const http::request_header<>& head,
+                                     TimePoint now) {
+  context_.metrics.Count(CounterName::kRequests);
+  GatewayRequest request;
+  request.started = now;
+  request.id = View(head[context_.headers.request_id]);
+  request.to_head = head.method() == http::verb::head;
+  const std::string_view target = View(head.target());
+  request.path = target.substr(0, target.find('?'));
+  if (const auto patience =
+          MillisecondsOf(View(head[context_.headers.deadline_ms])))
+    request.patience = *patience;
+  return request;
+}
+
+std::optional<Refusal> GatewayHandler::Identify(
+    const http::request_header<>& head,
+    GatewayRequest& request) {
+  const auto refused = [](RefusalReason reason) {
+    return Refusal{reason, RunState::kNotRun, Duration::zero()};
+  };
+  request.table = context_.table;
+  if (!request.table)
+    return refused(RefusalReason::kConfigurationMissing);
+  request.route =
+      request.table->Find(View(head[http::field::host]), request.path);
+  if (request.route == nullptr)
+    return refused(RefusalReason::kRouteUnknown);
+  request.key = BearerKeyOf(head);
+  if (request.table->needs_keys()) {
+    if (!request.key.empty())
+      request.workspace = request.table->WorkspaceOf(request.key);
+    if (request.workspace == nullptr && !request.route->open) {
+      return refused(request.key.empty() ? RefusalReason::kKeyMissing
+                                         : RefusalReason::kKeyUnknown);
+    }
+  }
+  request.deadline = request.started +
+                     std::min(request.patience, request.route->timeout);
+  request.urgency = {
+      request.workspace == nullptr ? 0 : request.workspace->priority,
+      request.route->priority};
+  return std::nullopt;
+}
+
+void GatewayHandler::SetPick(const http::request_header<>& head,
+                             GatewayRequest& request) {
+  const EdgeRoute& route = *request.route;
+  PickRequest& pick = request.pick;
+  pick.service = context_.splitters[route.name].Next(route.services);
+  const std::uint64_t route_hash = HashBytes(route.name);
+  pick.kind = HashPair(route_hash, pick.service.value());
+  const std::string_view object = CookieOf(head, context_.headers.affinity);
+  if (route.sticky && !object.empty())
+    pick.object = HashPair(route_hash, HashBytes(object));
+  pick.idempotent = route.idempotent;
+  pick.objective = route.objective;
+  pick.regions = route.regions;
+  if (request.workspace != nullptr && !request.workspace->regions.empty()) {
+    const auto& allowed = request.workspace->regions;
+    if (pick.regions.empty())
+      pick.regions = allowed;
+    else
+      std::erase_if(pick.regions, [&](RegionId region) {
+        return std::ranges::find(allowed, region) == allowed.end();
+      });
+    if (pick.regions.empty())
+      pick.regions.push_back(RegionId());
+  }
+  const double slack = context_.settings.retry_slack * kRetryBudgetPart /
+                       static_cast<double>(
+                           std::max<std::size_t>(1, context_.fleet.size()));
+  const auto [budget, added] = context_.retries.try_emplace(
+      pick.service, context_.settings.retry_ratio * kRetryBudgetPart, slack);
+  budget->second.OnSuccess();
+}
+
+void GatewayHandler::SetFingerprint(const http::request_header<>& head,
+                                    GatewayRequest& request) const {
+  const std::uint64_t content = HashPair(HashBytes(View(head.target())),
+                                         HashBytes(request.body));
+  request.fingerprint = HashPair(request.workspace_id().value(), content);
+}
+
+bool GatewayHandler::HoldBody(std::size_t bytes) {
+  const std::size_t most = std::size_t{context_.settings.memory_mb} *
+                           kBytesPerMegabyte / kBodyMemoryPart;
+  if (context_.body_bytes_held + bytes > most)
+    return false;
+  context_.body_bytes_held += bytes;
+  return true;
+}
+
+bool GatewayHandler::TryAgain(const GatewayRequest& request,
+                              const CallResult& result,
+                              std::uint32_t connect_failures,
+                              TimePoint now) {
+  const bool may_have_run = result.run_state != RunState::kNotRun;
+  if (may_have_run && !request.route->idempotent)
+    return false;
+  if (connect_failures > kMostConnectFailures ||
+      request.attempts >= request.route->max_attempts)
+    return false;
+  const auto expected =
+      static_cast<double>(context_.backends.ExpectedWarm(request.pick).count());
+  const Duration needed(
+      static_cast<Duration::rep>(kLeastTimePart * expected));
+  if (now + needed > request.deadline)
+    return false;
+  if (!context_.poison.MayRun(request.fingerprint, now))
+    return false;
+  if (result.outcome == RequestOutcome::kConnectFailed) {
+    context_.metrics.CountRetry(RetryReason::kConnectFailed);
+    return true;
+  }
+  const auto budget = context_.retries.find(request.pick.service);
+  if (budget == context_.retries.end() || !budget->second.TrySpend())
+    return false;
+  context_.metrics.CountRetry(may_have_run ? RetryReason::kServerFailed
+                                           : RetryReason::kServerShed);
+  return true;
+}
+
+void GatewayHandler::NoteResult(const GatewayRequest& request,
+                                const BackendChoice& choice,
+                                const CallResult& result,
+                                Duration latency,
+                                TimePoint now) {
+  context_.metrics.Record(LatencyName::kBackendAttempt, latency, now);
+  if (result.broken_off)
+    context_.poison.OnBrokenOff(request.fingerprint, now);
+  else if (result.run_state == RunState::kRan)
+    context_.poison.OnAnswered(request.fingerprint);
+  if (result.load)
+    dispatcher_.OnLoad(choice.server, *result.load, now);
+  const BackendState* const state = context_.backends.Find(choice.server);
+  Log(LogLevel::kInfo, "attempt-ended",
+      {{"id", request.id},
+       {"server", state == nullptr ? std::string_view("gone")
+                                   : std::string_view(state->entry().name)},
+       {"warm", choice.warm},
+       {"distance", static_cast<int>(choice.distance)},
+       {"run", result.run_state},
+       {"status", result.head ? result.head->result_int() : 0U},
+       {"reason", result.head ? std::string_view("answered")
+                              : Name(result.reason)},
+       {"took_ms", latency},
+       {"expected_ms", choice.expected}});
+}
+
+void GatewayHandler::NoteRefusal(const GatewayRequest& request,
+                                 const Refusal& refusal,
+                                 TimePoint now) {
+  context_.metrics.CountRefusal(refusal.reason);
+  Log(LogLevel::kInfo, "request-refused",
+      {{"id", request.id},
+       {"reason", refusal.reason},
+       {"run", refusal.run_state},
+       {"status", StatusOf(refusal)},
+       {"route", request.route == nullptr
+                     ? std::string_view("none")
+                     : std::string_view(request.route->name)},
+       {"version", request.table ? request.table->version() : 0},
+       {"workspace", request.workspace == nullptr
+                         ? std::string_view("none")
+                         : std::string_view(request.workspace->name)},
+       {"queued", dispatcher_.queued()},
+       {"attempts", request.attempts},
+       {"retry_after_ms", refusal.retry_after},
+       {"after_ms", now - request.started}});
+}
+
+void GatewayHandler::NoteAnswered(const GatewayRequest& request,
+                                  unsigned status,
+                                  TimePoint now) {
+  const Duration whole = now - request.started;
+  context_.metrics.Count(CounterName::kAnswers);
+  context_.metrics.Record(LatencyName::kRequest, whole, now);
+  if (status >= kFirstServerError || IsLogged(LogLevel::kDebug)) {
+    Log(LogLevel::kInfo, "request-answered",
+        {{"id", request.id},
+         {"status", status},
+         {"route", request.route->name.c_str()},
+         {"version", request.table->version()},
+         {"after_ms", whole}});
+  }
+}
+
+GatewayHandler::Answer GatewayHandler::RefusalAnswer(
+    const GatewayRequest& request,
+    const Refusal& refusal,
+    unsigned version,
+    bool keep_alive) const {
+  const unsigned status = StatusOf(refusal);
+  Answer answer(static_cast<http::status>(status), version);
+  if (!request.id.empty())
+    answer.set(context_.headers.request_id, request.id);
+  if (ComesBack(status) && refusal.reason != RefusalReason::kCrashContained) {
+    const Duration wait = refusal.retry_after > Duration::zero()
+                              ? refusal.retry_after
+                              : kDefaultRetryAfter;
+    answer.set(http::field::retry_after, SecondsText(wait));
+  }
+  answer.body() = Name(refusal.reason);
+  answer.prepare_payload();
+  answer.keep_alive(keep_alive);
+  return answer;
+}
+
+GatewayHandler::Answer GatewayHandler::AnswerOf(const CallResult& result,
+                                                unsigned version,
+                                                bool keep_alive) {
+  Answer answer;
+  answer.version(version);
+  answer.result(result.head->result_int());
+  answer.reason(result.head->reason());
+  CopyAnswerFields(*result.head, answer);
+  answer.body() = result.body;
+  answer.prepare_payload();
+  answer.keep_alive(keep_alive);
+  return answer;
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -0,0 +1,155 @@
+#include "comfreyvane/gateway/gateway_state.h"
+
+#include <openssl/rand.h>
+
+#include <array>
+#include <new>
+#include <utility>
+
+#include "comfreyvane/log/log.h"
+
+namespace comfreyvane {
+namespace {
+
+constexpr std::size_t kSecretBytes = 32;
+
+std::unordered_map<ServiceId, Duration> ColdTimes(const RouteTable* table,
+                                                  const GatewayContext&) {
+  std::unordered_map<ServiceId, Duration> times;
+  if (table == nullptr)
+    return times;
+  for (const EdgeRoute& route : table->routes()) {
+    for (const ServiceShare& share : route.services) {
+      if (const EdgeService* service = table->FindService(share.service))
+        times[share.service] = service->cold_time;
+    }
+  }
+  return times;
+}
+
+}  // namespace
+
+GatewayState::GatewayState(GatewayContext& context,
+                           GatewayDispatcher& dispatcher,
+                           BackendCall& calls)
+    : context_(context), dispatcher_(dispatcher), calls_(calls) {}
+
+void GatewayState::PutInForce(std::shared_ptr<const RouteTable> table,
+                              TimePoint now) {
+  const std::uint64_t before = context_.table ? context_.table->version() : 0;
+  if (context_.table && table->version() <= before)
+    return;
+  context_.table = std::move(table);
+  context_.limiter.Configure(context_.table->workspaces(), now);
+  context_.metrics.Count(CounterName::kRevisionsApplied);
+  context_.metrics.SetGauge(
+      GaugeName::kConfigurationRevision,
+      static_cast<std::int64_t>(context_.table->version()));
+  Log(LogLevel::kInfo, "configuration-in-force",
+      {{"version", context_.table->version()},
+       {"before", before},
+       {"routes", context_.table->routes().size()},
+       {"workspaces", context_.table->workspaces().size()}});
+  if (on_in_force_)
+    on_in_force_(*context_.table);
+}
+
+void GatewayState::UpsertBackend(const BackendEntry& entry, TimePoint now) {
+  const BackendState* const known = context_.backends.Find(entry.id());
+  const bool same = known != nullptr && known->entry() == entry;
+  const bool moved = known != nullptr &&
+                     (known->entry().address != entry.address ||
+                      known->entry().port != entry.port ||
+                      known->entry().started_ms != entry.started_ms);
+  context_.backends.Upsert(entry, now);
+  if (moved || entry.draining)
+    calls_.Drop(entry.id());
+  if (same)
+    return;
+  Log(LogLevel::kInfo, "server-listed",
+      {{"server", entry.name},
+       {"address", entry.address},
+       {"port", entry.port},
+       {"slots", entry.slots},
+       {"draining", entry.draining},
+       {"cold_ms", entry.cold_for},
+       {"known", known != nullptr}});
+  dispatcher_.OnTick(now);
+}
+
+void GatewayState::RemoveBackend(const std::string& name, TimePoint now) {
+  const BackendServerId id = BackendServerId::Of(name);
+  context_.backends.Remove(id, now);
+  calls_.Drop(id);
+  Log(LogLevel::kInfo, "server-gone", {{"server", name}});
+}
+
+void GatewayState::SetEvacuated(const std::string& failure_domain,
+                                bool evacuated,
+                                TimePoint now) {
+  const FailureDomainId id = FailureDomainId::Of(failure_domain);
+  if (evacuated == evacuated_.contains(id))
+    return;
+  if (evacuated)
+    evacuated_.insert(id);
+  else
+    evacuated_.erase(id);
+  context_.backends.SetEvacuated(
+      evacuated_, ColdTimes(context_.table.get(), context_), now);
+  Log(LogLevel::kInfo, "evacuation",
+      {{"failure_domain", failure_domain}, {"evacuated", evacuated}});
+}
+
+void GatewayState::SetHosts(const std::vector<FleetHost>& hosts,
+                            TimePoint now) {
+  const std::size_t before = context_.fleet.size();
+  context_.fleet.OnListed(hosts, now);
+  if (hosts.size() != before)
+    Log(LogLevel::kInfo, "hosts-listed",
+        {{"hosts", hosts.size()}, {"before", before}});
+  OnTick(now);
+}
+
+void GatewayState::SetFleetSecret(const std::string& secret) {
+  if (secret == secret_)
+    return;
+  secret_ = secret;
+  Log(LogLevel::kInfo, "fleet-secret-read");
+}
+
+std::string GatewayState::NewSecret() const {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::array<unsigned char, kSecretBytes> bytes{};
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1)
+    throw std::bad_alloc();
+  std::string text;
+  for (const unsigned char byte : bytes) {
+    text.push_back(kDigits[byte >> 4U]);
+    text.push_back(kDigits[byte & 0xfU]);
+  }
+  return text;
+}
+
+void GatewayState::OnTick(TimePoint now) {
+  const double share = context_.fleet.Share(now);
+  if (share != context_.limiter.share()) {
+    Log(LogLevel::kInfo, "limit-share",
+        {{"share", share},
+         {"before", context_.limiter.share()},
+         {"hosts", context_.fleet.size()}});
+    context_.limiter.SetShare(share, now);
+  }
+  for (const BackendServerId server : context_.backends.Cold(now)) {
+    const BackendState* const state = context_.backends.Find(server);
+    const EdgeService* const service =
+        context_.table ? context_.table->FindService(state->entry().service)
+                       : nullptr;
+    const double rate = service == nullptr ? 0.0 : service->cold_rate;
+    context_.backends.SetColdRate(server,
+                                  rate * context_.fleet.ColdShare(server));
+  }
+  context_.backends.Prune();
+  calls_.Prune(now);
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/heartbeat.h
@@ -0,0 +1,49 @@
+/// @file
+/// What a host tells the others at regular times.
+#ifndef COMFREYVANE_GATEWAY_HEARTBEAT_H_
+#define COMFREYVANE_GATEWAY_HEARTBEAT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
+#include "comfreyvane/edge/backend_use.h"
+
+namespace comfreyvane {
+
+/// Tokens of a workspace that are wanted or given.
+struct TokenAmount {
+  WorkspaceId workspace;
+  std::uint32_t tokens = 0;
+
+  friend bool operator==(const TokenAmount&, const TokenAmount&) = default;
+};
+
+/// A request that backend servers broke off on.
+struct SuspectReport {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t count = 0;  ///< At the sender.
+
+  friend bool operator==(const SuspectReport&, const SuspectReport&) = default;
+};
+
+/// What a host tells the others at regular times.
+struct Heartbeat {
+  std::string host;
+  std::uint64_t incarnation = 0;  ///< Differs from one run to the next.
+  std::uint64_t sequence = 0;     ///< Grows within an incarnation.
+  bool leaving = false;
+  std::uint64_t configuration = 0;  ///< Version in force at the sender.
+  std::vector<BackendUse> use;
+  std::vector<SuspectReport> suspects;
+  std::vector<TokenAmount> wanted;  ///< Of limits that the sender is short of.
+  std::vector<TokenAmount> given;   ///< To the receiver.
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_GATEWAY_HEARTBEAT_H_
--- /dev/null
+++ b/src/comfreyvane/gateway/message_heads.cc
@@ -0,0 +1,148 @@
+#include "comfreyvane/gateway/message_heads.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <chrono>
+
+#include "comfreyvane/net/request_checks.h"
+
+namespace comfreyvane {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kHttp11 = 11;
+constexpr std::string_view kBearer = "Bearer ";
+
+/// Longest time that a caller may say it waits.
+constexpr Duration kLongestPatience = std::chrono::hours(1);
+
+bool Equals(std::string_view a, std::string_view b) {
+  return boost::beast::iequals(a, b);
+}
+
+bool IsFraming(const http::fields::value_type& field) {
+  return field.name() == http::field::content_length ||
+         field.name() == http::field::transfer_encoding;
+}
+
+std::string_view TakePart(std::string_view& text, char separator) {
+  const auto end = std::min(text.find(separator), text.size());
+  const std::string_view part = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  return part;
+}
+
+std::string_view Trimmed(std::string_view text) {
+  while (!text.empty() && text.front() == ' ')
+    text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ')
+    text.remove_suffix(1);
+  return text;
+}
+
+template <typename Number>
+std::optional<Number> NumberOf(std::string_view text) {
+  Number value{};
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || stop != end || text.empty())
+    return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+http::request_header<> HeadToBackend(const http::request_header<>& head,
+                                     const GatewayRequest& request,
+                                     std::string_view server,
+                                     Duration remaining,
+                                     const HeaderDialect& names) {
+  http::request_header<> result;
+  result.version(kHttp11);
+  result.method_string(head.method_string());
+  result.target(head.target());
+  for (const auto& field : head) {
+    const std::string_view name(field.name_string().data(),
+                                field.name_string().size());
+    const bool own = Equals(name, names.deadline_ms) ||
+                     Equals(name, names.workspace) ||
+                     Equals(name, names.expected_server) ||
+                     field.name() == http::field::authorization ||
+                     field.name() == http::field::expect;
+    const std::string_view value(field.value().data(), field.value().size());
+    const bool holds_key = !request.key.empty() &&
+                           value.find(request.key) != std::string_view::npos;
+    if (!own && !holds_key && !IsFraming(field) && !IsHopByHop(head, field))
+      result.insert(field.name(), field.name_string(), field.value());
+  }
+  const bool had_body = head.count(http::field::content_length) > 0 ||
+                        head.count(http::field::transfer_encoding) > 0;
+  if (had_body || !request.body.empty())
+    result.set(http::field::content_length,
+               std::to_string(request.body.size()));
+  if (request.workspace != nullptr)
+    result.set(names.workspace, request.workspace->name);
+  result.set(names.expected_server, server);
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
+  result.set(names.deadline_ms,
+             std::to_string(std::max<std::int64_t>(1, milliseconds.count())));
+  return result;
+}
+
+void CopyAnswerFields(const http::response_header<>& from,
+                      http::response_header<>& to) {
+  for (const auto& field : from) {
+    if (!IsFraming(field) && !IsHopByHop(from, field))
+      to.insert(field.name(), field.name_string(), field.value());
+  }
+}
+
+std::optional<LoadReport> LoadOf(const http::response_header<>& head,
+                                 const HeaderDialect& names) {
+  const auto found = head.find(names.load);
+  if (found == head.end())
+    return std::nullopt;
+  std::string_view text(found->value().data(), found->value().size());
+  const auto running = NumberOf<std::uint32_t>(Trimmed(TakePart(text, ',')));
+  const auto waiting = NumberOf<std::uint32_t>(Trimmed(TakePart(text, ',')));
+  if (!running || !waiting)
+    return std::nullopt;
+  return LoadReport{*running, *waiting, false};
+}
+
+std::string_view CookieOf(const http::request_header<>& head,
+                          std::string_view name) {
+  const auto range = head.equal_range(http::field::cookie);
+  for (auto row = range.first; row != range.second; ++row) {
+    std::string_view text(row->value().data(), row->value().size());
+    while (!text.empty()) {
+      std::string_view pair = Trimmed(TakePart(text, ';'));
+      if (TakePart(pair, '=') == name)
+        return pair;
+    }
+  }
+  return {};
+}
+
+std::string_view BearerKeyOf(const http::request_header<>& head) {
+  const auto field = head[http::field::authorization];
+  const std::string_view text(field.data(), field.size());
+  if (text.size() <= kBearer.size() ||
+      !Equals(text.substr(0, kBearer.size()), kBearer))
+    return {};
+  return Trimmed(text.substr(kBearer.size()));
+}
+
+std::optional<Duration> MillisecondsOf(std::string_view text) {
+  const auto value = NumberOf<std::int64_t>(Trimmed(text));
+  if (!value || *value < 0)
+    return std::nullopt;
+  return std::min<Duration>(kLongestPatience,
+                            std::chrono::milliseconds(std::min<std::int64_t>(
+                                *value, std::int64_t{1} << 40)));
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -0,0 +1,85 @@
+/// @file
+/// Heartbeats between hosts.
+#ifndef COMFREYVANE_GATEWAY_PEER_LINK_H_
+#define COMFREYVANE_GATEWAY_PEER_LINK_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "comfreyvane/edge/backend_use.h"
+#include "comfreyvane/gateway/gateway_context.h"
+#include "comfreyvane/gateway/gateway_state.h"
+#include "comfreyvane/gateway/heartbeat.h"
+#include "comfreyvane/net/async.h"
+
+namespace comfreyvane {
+
+/// Sends heartbeats to the other hosts and takes in theirs: who lives, what
+/// runs where, which requests break servers, and tokens that move. A datagram
+/// is the authentication code of its text, a line feed, and the text.
+class PeerLink {
+ public:
+  /// @param incarnation differs from one run of this host to the next.
+  PeerLink(GatewayState& state,
+           asio::io_context& io,
+           std::uint64_t incarnation);
+
+  void Start();
+  void Stop();
+
+  /// Sends heartbeats if they are due.
+  void OnTick(TimePoint now);
+  /// Sends heartbeats at once.
+  void SendNow(TimePoint now);
+
+  /// Notes a limit that this host is short of.
+  void WantTokens(WorkspaceId workspace, TimePoint now);
+
+  /// Called with a host whose configuration is newer than the one here.
+  void OnNewerPeer(std::function<void(const FleetHost&)> listener) {
+    on_newer_peer_ = std::move(listener);
+  }
+
+ private:
+  using Udp = asio::ip::udp;
+
+  /// Largest datagram that is sent or read.
+  static constexpr std::size_t kDatagramBytes = 8 * 1024;
+
+  struct Peer {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    TimePoint heard{};
+    std::vector<BackendUse> use;
+  };
+
+  void Receive();
+  void OnDatagram(std::string_view datagram, TimePoint now);
+  void OnHeartbeat(const Heartbeat& heartbeat, TimePoint now);
+  void TakeUse(const std::vector<BackendUse>& before, TimePoint now);
+  void GiveTokens(const Heartbeat& heartbeat, TimePoint now);
+  [[nodiscard]] Heartbeat Compose(TimePoint now);
+  void SendTo(const FleetHost& host, const Heartbeat& heartbeat);
+
+  GatewayState& state_;
+  GatewayContext& context_;
+  Udp::socket socket_;
+  Udp::endpoint sender_;
+  std::array<char, kDatagramBytes> received_{};
+  std::uint64_t incarnation_;
+  std::uint64_t sequence_ = 0;
+  TimePoint next_beat_{};
+  std::unordered_map<HostId, Peer> peers_;
+  std::map<WorkspaceId, TimePoint> wanted_;
+  std::function<void(const FleetHost&)> on_newer_peer_;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_GATEWAY_PEER_LINK_H_
--- a/src/comfreyvane/host/control_handler.cc
+++ b/src/comfreyvane/host/control_handler.cc
@@ -6,7 +6,7 @@
 #include "comfreyvane/metrics/prometheus_text.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/operate/bearer_token.h"
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/peer/peer_stamp.h"
 
 namespace comfreyvane {
--- a/src/comfreyvane/host/control_loop.h
+++ b/src/comfreyvane/host/control_loop.h
@@ -21,7 +21,7 @@
 #include "comfreyvane/net/caller_listener.h"
 #include "comfreyvane/net/http_platform.h"
 #include "comfreyvane/peer/notification_server.h"
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/host/peer_directory.h
+++ b/src/comfreyvane/host/peer_directory.h
@@ -12,7 +12,7 @@
 #include "comfreyvane/member/member_view.h"
 #include "comfreyvane/net/async.h"
 #include "comfreyvane/net/timeout_sweeper.h"
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/peer/peer_channel.h"
 
 namespace comfreyvane {
--- a/src/comfreyvane/limit/shares_outcome.h
+++ b/src/comfreyvane/limit/shares_outcome.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "comfreyvane/base/revision.h"
-#include "comfreyvane/platform/table_status.h"
+#include "comfreyvane/storage/table_status.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/limit/shares_reading.h
+++ b/src/comfreyvane/limit/shares_reading.h
@@ -5,7 +5,7 @@
 
 #include "comfreyvane/base/revision.h"
 #include "comfreyvane/limit/share_table.h"
-#include "comfreyvane/platform/table_status.h"
+#include "comfreyvane/storage/table_status.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/member/member_core.h
+++ b/src/comfreyvane/member/member_core.h
@@ -19,7 +19,7 @@
 #include "comfreyvane/member/peer_graph.h"
 #include "comfreyvane/member/roster.h"
 #include "comfreyvane/member/rumour_queue.h"
-#include "comfreyvane/platform/host_listing.h"
+#include "comfreyvane/storage/host_listing.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/member/roster.h
+++ b/src/comfreyvane/member/roster.h
@@ -15,7 +15,7 @@
 #include "comfreyvane/member/member_rumour.h"
 #include "comfreyvane/member/member_settings.h"
 #include "comfreyvane/member/member_view.h"
-#include "comfreyvane/platform/host_listing.h"
+#include "comfreyvane/storage/host_listing.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/metrics/counter_name.cc
+++ b/src/comfreyvane/metrics/counter_name.cc
@@ -47,6 +47,10 @@
      "Bytes sent to peers."},
     {CounterName::kRevisionsApplied, "comfreyvane_revisions_applied_total",
      "Configurations that came into force here."},
+    {CounterName::kSkippedRows, "comfreyvane_skipped_rows_total",
+     "Rows of the store that cannot be used."},
+    {CounterName::kStrayAnswers, "comfreyvane_stray_answers_total",
+     "Answers of backend servers that belong to no request."},
 }};
 
 const CounterNameRow& Row(CounterName counter) {
--- a/src/comfreyvane/metrics/counter_name.h
+++ b/src/comfreyvane/metrics/counter_name.h
@@ -27,11 +27,13 @@
   kPeerFailures,        ///< Calls to peers that failed.
   kBytesToPeers,        ///< Bytes sent to peers.
   kRevisionsApplied,    ///< Configurations that came into force here.
+  kSkippedRows,         ///< Rows of the store that cannot be used.
+  kStrayAnswers,        ///< Answers that belong to no request here.
 };
 
 /// Number of counter names.
 inline constexpr std::size_t kCounterNameCount =
-    static_cast<std::size_t>(CounterName::kRevisionsApplied) + 1;
+    static_cast<std::size_t>(CounterName::kStrayAnswers) + 1;
 
 /// @return the name in the metrics text, such as "comfreyvane_requests_total".
 [[nodiscard]] std::string_view Name(CounterName counter);
--- a/src/comfreyvane/net/backend_connection.cc
+++ b/src/comfreyvane/net/backend_connection.cc
@@ -79,9 +79,10 @@
     if (parser_->get().result_int() / 100 != 1)
       break;
   }
-  // A body that only the close ends cannot be told from a truncated one.
-  co_return parser_->need_eof() ? ExchangeFailure::kMalformed
-                                : ExchangeFailure::kNone;
+  // A body that only the close ends cannot be told from one that a server cut
+  // short in an orderly way.
+  const bool refused = parser_->need_eof() && !unframed_allowed_;
+  co_return refused ? ExchangeFailure::kMalformed : ExchangeFailure::kNone;
 }
 
 asio::awaitable<BodyChunk> BackendConnection::ReadBody(std::span<char> into,
--- a/src/comfreyvane/net/backend_connection.h
+++ b/src/comfreyvane/net/backend_connection.h
@@ -43,6 +43,7 @@
 
   /// Reads the head of the final answer; interim answers are passed over.
   /// @param to_head whether the request was a HEAD, whose answer has no body.
+  /// @pre the body of an earlier answer was read.
   [[nodiscard]] asio::awaitable<ExchangeFailure> ReadHead(bool to_head,
                                                           TimePoint deadline);
 
@@ -67,6 +68,13 @@
   [[nodiscard]] TimePoint idle_since() const { return idle_since_; }
   void SetIdle(TimePoint now) { idle_since_ = now; }
 
+  /// Longest time idle that the backend server has announced.
+  [[nodiscard]] Duration idle_limit() const { return idle_limit_; }
+  void SetIdleLimit(Duration limit) { idle_limit_ = limit; }
+
+  /// Allows answers whose body the close of the connection ends.
+  void AllowUnframedAnswers() { unframed_allowed_ = true; }
+
   /// Identifier that the owner has given to the connection.
   [[nodiscard]] std::uint64_t id() const { return id_; }
   void SetId(std::uint64_t id) { id_ = id; }
@@ -77,6 +85,8 @@
   std::optional<Parser> parser_;
   Watchdog watchdog_;
   TimePoint idle_since_;
+  Duration idle_limit_ = Duration::max();
+  bool unframed_allowed_ = false;
   int uses_ = 0;
   std::uint64_t id_ = 0;
 };
--- a/src/comfreyvane/net/backend_pool.cc
+++ b/src/comfreyvane/net/backend_pool.cc
@@ -1,5 +1,6 @@
 #include "comfreyvane/net/backend_pool.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -20,7 +21,8 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    const bool fresh = now - connection->idle_since() < idle_limit_;
+    const bool fresh = now - connection->idle_since() <
+                       std::min(idle_limit_, connection->idle_limit());
     if (fresh && !connection->IsStale())
       return connection;
   }
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -159,18 +160,12 @@
     co_return failure;
   }
 
-  /// Calls the function once if the caller closes its connection. Must be
-  /// stopped before the next read or write.
+  /// Calls the function once if the caller closes its connection. What the
+  /// caller sends meanwhile is kept for the next request. Must be stopped
+  /// before the next read or write.
+  /// @pre the body was read.
   void WatchForClose(std::function<void()> on_closed) {
-    const int watch = ++watch_;
-    socket().async_wait(
-        tcp::socket::wait_read,
-        [this, watch, alive = std::weak_ptr<int>(alive_),
-         on_closed = std::move(on_closed)](const error_code& error) {
-          if (error || alive.expired() || watch != watch_ || !PeerHasClosed())
-            return;
-          on_closed();
-        });
+    AwaitReadable(++watch_, std::move(on_closed));
   }
   void StopWatching() {
     ++watch_;
@@ -210,12 +205,13 @@
     socket().cancel(ignored);
   }
 
-  /// Ends the wait for a request that has not begun to arrive.
-  void CancelIfIdle() {
+  /// Closes the connection at once if no request has begun to arrive. One that
+  /// crosses the close is reset unread, so that the caller may repeat it.
+  void CloseIfIdle() {
     error_code error;
     const bool unread = socket().available(error) > 0;
     if (buffer_.size() == 0 && !unread)
-      CancelAll();
+      socket().close(error);
   }
 
  private:
@@ -271,11 +267,50 @@
     return {false, CheckHead(head())};
   }
 
-  [[nodiscard]] bool PeerHasClosed() {
-    char byte = 0;
-    const auto size =
-        recv(socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+  void AwaitReadable(int watch, std::function<void()> on_closed) {
+    socket().async_wait(
+        tcp::socket::wait_read,
+        [this, watch, alive = std::weak_ptr<int>(alive_),
+         on_closed = std::move(on_closed)](const error_code& error) mutable {
+          if (error || alive.expired() || watch != watch_)
+            return;
+          const ReadAhead ahead = TakeReadAhead();
+          if (ahead == ReadAhead::kClosed)
+            on_closed();
+          else if (ahead == ReadAhead::kTaken)
+            AwaitReadable(watch, std::move(on_closed));
+        });
+  }
+
+  enum class ReadAhead { kClosed, kTaken, kLeft };
+
+  /// Takes bytes of later requests off the socket, since a close behind unread
+  /// bytes would not be seen. Those of a TLS stream are left there.
+  [[nodiscard]] ReadAhead TakeReadAhead() {
+    if constexpr (requires { stream_.next_layer(); }) {
+      char byte = 0;
+      return Received(recv(socket().native_handle(), &byte, 1,
+                           MSG_PEEK | MSG_DONTWAIT),
+                      ReadAhead::kLeft);
+    } else {
+      const std::size_t room =
+          std::min(kReadBytes, buffer_.max_size() - buffer_.size());
+      if (room == 0)
+        return ReadAhead::kLeft;
+      const auto space = buffer_.prepare(room);
+      const auto size = recv(socket().native_handle(), space.data(),
+                             space.size(), MSG_DONTWAIT);
+      if (size > 0)
+        buffer_.commit(static_cast<std::size_t>(size));
+      return Received(size, ReadAhead::kTaken);
+    }
+  }
+
+  [[nodiscard]] static ReadAhead Received(ssize_t size, ReadAhead if_bytes) {
+    if (size > 0)
+      return if_bytes;
+    const bool pending = size < 0 && (errno == EAGAIN || errno == EINTR);
+    return pending ? ReadAhead::kTaken : ReadAhead::kClosed;
   }
 
   Stream stream_;
--- a/src/comfreyvane/net/caller_listener.h
+++ b/src/comfreyvane/net/caller_listener.h
@@ -71,6 +71,9 @@
   /// Each answer from now on closes its connection.
   void BeginLeaving() { leaving_ = true; }
 
+  /// Puts other limits in force for connections accepted from now on.
+  void SetLimits(const HttpLimits& limits) { limits_ = limits; }
+
   /// Takes what has connected already, then accepts no more, and closes the
   /// connections that are idle. Running requests go on.
   void StopAccepting() {
@@ -132,7 +135,7 @@
     bool go_on = true;
     while (go_on) {
       const auto place =
-          idle_.insert(idle_.end(), [&exchange] { exchange.CancelIfIdle(); });
+          idle_.insert(idle_.end(), [&exchange] { exchange.CloseIfIdle(); });
       const auto head = co_await exchange.ReadHead();
       idle_.erase(place);
       if (head.ended)
--- a/src/comfreyvane/net/fwd.h
+++ b/src/comfreyvane/net/fwd.h
@@ -9,6 +9,7 @@
 struct BodyChunk;
 class BackendConnection;
 class BackendPool;
+class PeerAuthenticator;
 class TimeoutSweeper;
 class Watchdog;
 enum class ExchangeFailure;
--- a/src/comfreyvane/net/http_platform.h
+++ b/src/comfreyvane/net/http_platform.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "comfreyvane/net/http_client.h"
-#include "comfreyvane/platform/host_list.h"
-#include "comfreyvane/platform/object_store.h"
-#include "comfreyvane/platform/table_service.h"
+#include "comfreyvane/storage/host_list.h"
+#include "comfreyvane/storage/object_store.h"
+#include "comfreyvane/storage/table_service.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/peer/peer_authenticator.h
+++ b/src/comfreyvane/net/peer_authenticator.h
@@ -1,7 +1,7 @@
 /// @file
 /// Authentication of messages between hosts.
-#ifndef COMFREYVANE_PEER_PEER_AUTHENTICATOR_H_
-#define COMFREYVANE_PEER_PEER_AUTHENTICATOR_H_
+#ifndef COMFREYVANE_NET_PEER_AUTHENTICATOR_H_
+#define COMFREYVANE_NET_PEER_AUTHENTICATOR_H_
 
 #include <string>
 #include <string_view>
@@ -32,4 +32,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PEER_PEER_AUTHENTICATOR_H_
+#endif  // COMFREYVANE_NET_PEER_AUTHENTICATOR_H_
--- a/src/comfreyvane/once/epoch_tracker.h
+++ b/src/comfreyvane/once/epoch_tracker.h
@@ -15,8 +15,8 @@
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/once/store_record_action.h"
 #include "comfreyvane/once/store_record_limits.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/once/store_record_action.h
+++ b/src/comfreyvane/once/store_record_action.h
@@ -10,7 +10,7 @@
 
 #include "comfreyvane/once/ledger_answer.h"
 #include "comfreyvane/once/record_name.h"
-#include "comfreyvane/platform/table_transaction.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/peer/fwd.h
+++ b/src/comfreyvane/peer/fwd.h
@@ -7,7 +7,6 @@
 
 struct PeerStamp;
 class NotificationServer;
-class PeerAuthenticator;
 class PeerChannel;
 class ReplayGuard;
 
--- a/src/comfreyvane/peer/peer_channel.cc
+++ b/src/comfreyvane/peer/peer_channel.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "comfreyvane/net/clock.h"
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/peer/peer_stamp.h"
 #include "comfreyvane/rpc/notification_batch.h"
 
--- a/src/comfreyvane/spread/accept_action.h
+++ b/src/comfreyvane/spread/accept_action.h
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
-#include "comfreyvane/platform/table_transaction.h"
 #include "comfreyvane/spread/apply_result.h"
 #include "comfreyvane/spread/configuration_delta.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/spread/accept_core.h
+++ b/src/comfreyvane/spread/accept_core.h
@@ -11,8 +11,6 @@
 
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/time.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
 #include "comfreyvane/spread/accept_action.h"
 #include "comfreyvane/spread/accept_settings.h"
 #include "comfreyvane/spread/acceptor_set.h"
@@ -20,6 +18,8 @@
 #include "comfreyvane/spread/head_row.h"
 #include "comfreyvane/spread/operator_request.h"
 #include "comfreyvane/spread/request_log.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/spread/acceptor_core.h
+++ b/src/comfreyvane/spread/acceptor_core.h
@@ -10,11 +10,11 @@
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/member/member_view.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_row.h"
 #include "comfreyvane/spread/accept_action.h"
 #include "comfreyvane/spread/acceptor_set.h"
 #include "comfreyvane/spread/acceptor_statement.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_row.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/spread/configuration_core.h
+++ b/src/comfreyvane/spread/configuration_core.h
@@ -14,8 +14,6 @@
 #include "comfreyvane/config/access_policy.h"
 #include "comfreyvane/member/member_view.h"
 #include "comfreyvane/member/peer_graph.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
 #include "comfreyvane/spread/accept_core.h"
 #include "comfreyvane/spread/acceptor_core.h"
 #include "comfreyvane/spread/configuration_action.h"
@@ -23,6 +21,8 @@
 #include "comfreyvane/spread/freshness_core.h"
 #include "comfreyvane/spread/in_force_tracker.h"
 #include "comfreyvane/spread/spread_core.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/spread/freshness_action.h
+++ b/src/comfreyvane/spread/freshness_action.h
@@ -10,9 +10,9 @@
 
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/time.h"
-#include "comfreyvane/platform/table_row.h"
 #include "comfreyvane/spread/freshness_message.h"
 #include "comfreyvane/spread/head_row.h"
+#include "comfreyvane/storage/table_row.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/spread/freshness_core.h
+++ b/src/comfreyvane/spread/freshness_core.h
@@ -15,9 +15,9 @@
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/config/access_policy.h"
 #include "comfreyvane/member/peer_graph.h"
-#include "comfreyvane/platform/table_reading.h"
 #include "comfreyvane/spread/freshness_action.h"
 #include "comfreyvane/spread/freshness_settings.h"
+#include "comfreyvane/storage/table_reading.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/spread/spread_core.h
+++ b/src/comfreyvane/spread/spread_core.h
@@ -13,11 +13,11 @@
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/member/member_view.h"
 #include "comfreyvane/member/peer_graph.h"
-#include "comfreyvane/platform/table_reading.h"
 #include "comfreyvane/spread/confirmation_board.h"
 #include "comfreyvane/spread/head_row.h"
 #include "comfreyvane/spread/spread_action.h"
 #include "comfreyvane/spread/spread_settings.h"
+#include "comfreyvane/storage/table_reading.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/platform/fwd.h
+++ b/src/comfreyvane/storage/fwd.h
@@ -1,7 +1,7 @@
 /// @file
-/// Forward declarations of package platform.
-#ifndef COMFREYVANE_PLATFORM_FWD_H_
-#define COMFREYVANE_PLATFORM_FWD_H_
+/// Forward declarations of package storage.
+#ifndef COMFREYVANE_STORAGE_FWD_H_
+#define COMFREYVANE_STORAGE_FWD_H_
 
 namespace comfreyvane {
 
@@ -11,6 +11,7 @@
 struct TableTransaction;
 struct TableOutcome;
 struct TableReading;
+struct TableFeed;
 struct HostListing;
 struct ObjectReading;
 enum class TableStatus;
@@ -18,4 +19,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_FWD_H_
+#endif  // COMFREYVANE_STORAGE_FWD_H_
--- a/src/comfreyvane/platform/host_list.h
+++ b/src/comfreyvane/storage/host_list.h
@@ -1,14 +1,14 @@
 /// @file
 /// What the system needs of the platform's host list.
-#ifndef COMFREYVANE_PLATFORM_HOST_LIST_H_
-#define COMFREYVANE_PLATFORM_HOST_LIST_H_
+#ifndef COMFREYVANE_STORAGE_HOST_LIST_H_
+#define COMFREYVANE_STORAGE_HOST_LIST_H_
 
 #include <concepts>
 #include <functional>
 #include <vector>
 
-#include "comfreyvane/platform/host_listing.h"
-#include "comfreyvane/platform/table_status.h"
+#include "comfreyvane/storage/host_listing.h"
+#include "comfreyvane/storage/table_status.h"
 
 namespace comfreyvane {
 
@@ -22,4 +22,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_HOST_LIST_H_
+#endif  // COMFREYVANE_STORAGE_HOST_LIST_H_
--- a/src/comfreyvane/platform/host_listing.h
+++ b/src/comfreyvane/storage/host_listing.h
@@ -1,12 +1,12 @@
 /// @file
 /// An entry of the platform's host list.
-#ifndef COMFREYVANE_PLATFORM_HOST_LISTING_H_
-#define COMFREYVANE_PLATFORM_HOST_LISTING_H_
+#ifndef COMFREYVANE_STORAGE_HOST_LISTING_H_
+#define COMFREYVANE_STORAGE_HOST_LISTING_H_
 
 #include <cstdint>
 #include <string>
 
-#include "comfreyvane/platform/host_state.h"
+#include "comfreyvane/storage/host_state.h"
 
 namespace comfreyvane {
 
@@ -24,4 +24,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_HOST_LISTING_H_
+#endif  // COMFREYVANE_STORAGE_HOST_LISTING_H_
--- a/src/comfreyvane/platform/host_state.h
+++ b/src/comfreyvane/storage/host_state.h
@@ -1,7 +1,7 @@
 /// @file
 /// State of a host in the platform's list.
-#ifndef COMFREYVANE_PLATFORM_HOST_STATE_H_
-#define COMFREYVANE_PLATFORM_HOST_STATE_H_
+#ifndef COMFREYVANE_STORAGE_HOST_STATE_H_
+#define COMFREYVANE_STORAGE_HOST_STATE_H_
 
 namespace comfreyvane {
 
@@ -13,4 +13,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_HOST_STATE_H_
+#endif  // COMFREYVANE_STORAGE_HOST_STATE_H_
--- a/src/comfreyvane/platform/object_reading.h
+++ b/src/comfreyvane/storage/object_reading.h
@@ -1,11 +1,11 @@
 /// @file
 /// Result of a read of the object store.
-#ifndef COMFREYVANE_PLATFORM_OBJECT_READING_H_
-#define COMFREYVANE_PLATFORM_OBJECT_READING_H_
+#ifndef COMFREYVANE_STORAGE_OBJECT_READING_H_
+#define COMFREYVANE_STORAGE_OBJECT_READING_H_
 
 #include <string>
 
-#include "comfreyvane/platform/table_status.h"
+#include "comfreyvane/storage/table_status.h"
 
 namespace comfreyvane {
 
@@ -20,4 +20,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_OBJECT_READING_H_
+#endif  // COMFREYVANE_STORAGE_OBJECT_READING_H_
--- a/src/comfreyvane/platform/object_store.h
+++ b/src/comfreyvane/storage/object_store.h
@@ -1,13 +1,13 @@
 /// @file
 /// What the system needs of the platform's object store.
-#ifndef COMFREYVANE_PLATFORM_OBJECT_STORE_H_
-#define COMFREYVANE_PLATFORM_OBJECT_STORE_H_
+#ifndef COMFREYVANE_STORAGE_OBJECT_STORE_H_
+#define COMFREYVANE_STORAGE_OBJECT_STORE_H_
 
 #include <concepts>
 #include <functional>
 #include <string>
 
-#include "comfreyvane/platform/object_reading.h"
+#include "comfreyvane/storage/object_reading.h"
 
 namespace comfreyvane {
 
@@ -24,4 +24,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_OBJECT_STORE_H_
+#endif  // COMFREYVANE_STORAGE_OBJECT_STORE_H_
--- a/src/comfreyvane/platform/table_condition.h
+++ b/src/comfreyvane/storage/table_condition.h
@@ -1,7 +1,7 @@
 /// @file
 /// A condition of a transaction.
-#ifndef COMFREYVANE_PLATFORM_TABLE_CONDITION_H_
-#define COMFREYVANE_PLATFORM_TABLE_CONDITION_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_CONDITION_H_
+#define COMFREYVANE_STORAGE_TABLE_CONDITION_H_
 
 #include <string>
 
@@ -20,4 +20,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_CONDITION_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_CONDITION_H_
--- a/src/comfreyvane/platform/table_outcome.h
+++ b/src/comfreyvane/storage/table_outcome.h
@@ -1,13 +1,13 @@
 /// @file
 /// Outcome of a transaction.
-#ifndef COMFREYVANE_PLATFORM_TABLE_OUTCOME_H_
-#define COMFREYVANE_PLATFORM_TABLE_OUTCOME_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_OUTCOME_H_
+#define COMFREYVANE_STORAGE_TABLE_OUTCOME_H_
 
 #include <string>
 #include <vector>
 
-#include "comfreyvane/platform/table_row.h"
-#include "comfreyvane/platform/table_status.h"
+#include "comfreyvane/storage/table_row.h"
+#include "comfreyvane/storage/table_status.h"
 
 namespace comfreyvane {
 
@@ -23,4 +23,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_OUTCOME_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_OUTCOME_H_
--- a/src/comfreyvane/platform/table_reading.h
+++ b/src/comfreyvane/storage/table_reading.h
@@ -1,12 +1,12 @@
 /// @file
 /// Result of a read of the table service.
-#ifndef COMFREYVANE_PLATFORM_TABLE_READING_H_
-#define COMFREYVANE_PLATFORM_TABLE_READING_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_READING_H_
+#define COMFREYVANE_STORAGE_TABLE_READING_H_
 
 #include <vector>
 
-#include "comfreyvane/platform/table_row.h"
-#include "comfreyvane/platform/table_status.h"
+#include "comfreyvane/storage/table_row.h"
+#include "comfreyvane/storage/table_status.h"
 
 namespace comfreyvane {
 
@@ -20,4 +20,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_READING_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_READING_H_
--- a/src/comfreyvane/platform/table_row.h
+++ b/src/comfreyvane/storage/table_row.h
@@ -1,7 +1,7 @@
 /// @file
 /// A row of the table service.
-#ifndef COMFREYVANE_PLATFORM_TABLE_ROW_H_
-#define COMFREYVANE_PLATFORM_TABLE_ROW_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_ROW_H_
+#define COMFREYVANE_STORAGE_TABLE_ROW_H_
 
 #include <string>
 
@@ -20,4 +20,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_ROW_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_ROW_H_
--- a/src/comfreyvane/platform/table_service.h
+++ b/src/comfreyvane/storage/table_service.h
@@ -1,16 +1,16 @@
 /// @file
 /// What the system needs of the platform's table service.
-#ifndef COMFREYVANE_PLATFORM_TABLE_SERVICE_H_
-#define COMFREYVANE_PLATFORM_TABLE_SERVICE_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_SERVICE_H_
+#define COMFREYVANE_STORAGE_TABLE_SERVICE_H_
 
 #include <concepts>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
-#include "comfreyvane/platform/table_transaction.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane {
 
@@ -30,4 +30,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_SERVICE_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_SERVICE_H_
--- a/src/comfreyvane/platform/table_status.h
+++ b/src/comfreyvane/storage/table_status.h
@@ -1,7 +1,7 @@
 /// @file
 /// How a call to the platform ended.
-#ifndef COMFREYVANE_PLATFORM_TABLE_STATUS_H_
-#define COMFREYVANE_PLATFORM_TABLE_STATUS_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_STATUS_H_
+#define COMFREYVANE_STORAGE_TABLE_STATUS_H_
 
 namespace comfreyvane {
 
@@ -16,4 +16,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_STATUS_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_STATUS_H_
--- a/src/comfreyvane/platform/table_transaction.h
+++ b/src/comfreyvane/storage/table_transaction.h
@@ -1,13 +1,13 @@
 /// @file
 /// A transaction on the table service.
-#ifndef COMFREYVANE_PLATFORM_TABLE_TRANSACTION_H_
-#define COMFREYVANE_PLATFORM_TABLE_TRANSACTION_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_TRANSACTION_H_
+#define COMFREYVANE_STORAGE_TABLE_TRANSACTION_H_
 
 #include <string>
 #include <vector>
 
-#include "comfreyvane/platform/table_condition.h"
-#include "comfreyvane/platform/table_write.h"
+#include "comfreyvane/storage/table_condition.h"
+#include "comfreyvane/storage/table_write.h"
 
 namespace comfreyvane {
 
@@ -25,4 +25,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_TRANSACTION_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_TRANSACTION_H_
--- a/src/comfreyvane/platform/table_write.h
+++ b/src/comfreyvane/storage/table_write.h
@@ -1,7 +1,7 @@
 /// @file
 /// A write of a transaction.
-#ifndef COMFREYVANE_PLATFORM_TABLE_WRITE_H_
-#define COMFREYVANE_PLATFORM_TABLE_WRITE_H_
+#ifndef COMFREYVANE_STORAGE_TABLE_WRITE_H_
+#define COMFREYVANE_STORAGE_TABLE_WRITE_H_
 
 #include <optional>
 #include <string>
@@ -18,4 +18,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_PLATFORM_TABLE_WRITE_H_
+#endif  // COMFREYVANE_STORAGE_TABLE_WRITE_H_
--- a/src/comfreyvane/wire/limit_codec.h
+++ b/src/comfreyvane/wire/limit_codec.h
@@ -15,9 +15,9 @@
 #include "comfreyvane/limit/share_table.h"
 #include "comfreyvane/limit/shares_outcome.h"
 #include "comfreyvane/limit/shares_reading.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
-#include "comfreyvane/platform/table_transaction.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane {
 
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -12,10 +12,10 @@
 #include <vector>
 
 #include "comfreyvane/base/time.h"
-#include "comfreyvane/platform/host_listing.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
-#include "comfreyvane/platform/table_transaction.h"
+#include "comfreyvane/storage/host_listing.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane::standin {
 
--- a/tests/comfreyvane/peer/peer_authenticator_test.cc
+++ b/tests/comfreyvane/net/peer_authenticator_test.cc
@@ -1,4 +1,4 @@
-#include "comfreyvane/peer/peer_authenticator.h"
+#include "comfreyvane/net/peer_authenticator.h"
 
 #include <string>
 
--- a/tests/comfreyvane/once/fake_table.h
+++ b/tests/comfreyvane/once/fake_table.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
-#include "comfreyvane/platform/table_transaction.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane::testing {
 
--- a/tests/comfreyvane/spread/fake_store.h
+++ b/tests/comfreyvane/spread/fake_store.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "comfreyvane/base/time.h"
-#include "comfreyvane/platform/table_outcome.h"
-#include "comfreyvane/platform/table_reading.h"
-#include "comfreyvane/platform/table_transaction.h"
 #include "comfreyvane/spread/acceptor_set.h"
 #include "comfreyvane/spread/head_row.h"
+#include "comfreyvane/storage/table_outcome.h"
+#include "comfreyvane/storage/table_reading.h"
+#include "comfreyvane/storage/table_transaction.h"
 
 namespace comfreyvane::testing {
 
