Keep awaits out of conditional expressions

Cause: each process ended with a double free within 0.2 s of its start. GCC 12 destroys the temporary of a conditional expression with two awaits twice; ruled out the store client, whose calls alone did not fail.

--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -113,9 +113,11 @@
     bool whole = true;
     Duration pause = kFirstPause;
     while (!stopped_) {
-      const TableFeed feed =
-          whole ? co_await store_.Read(table)
-                : co_await store_.Follow(table, position, kWait);
+      TableFeed feed;
+      if (whole)
+        feed = co_await store_.Read(table);
+      else
+        feed = co_await store_.Follow(table, position, kWait);
       const TimePoint now = MonotonicNow();
       if (feed.history_lost) {
         Log(LogLevel::kWarning, "history-lost",
