Give each object a home, queue at its server, and learn what servers keep warm

Ruled out: the hosts' queue (average wait 0-1 ms). Change: a home for each object and region; a wait at the server is weighed as time; a model of how many objects are kept; small regions have part of their objects at home elsewhere; answers at the deadline are no failure of the server.

--- a/src/comfreyvane/edge/backend_choice.h
+++ b/src/comfreyvane/edge/backend_choice.h
@@ -3,6 +3,9 @@
 #ifndef COMFREYVANE_EDGE_BACKEND_CHOICE_H_
 #define COMFREYVANE_EDGE_BACKEND_CHOICE_H_
 
+#include <cstddef>
+#include <optional>
+
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/base/time.h"
@@ -14,7 +17,9 @@
 struct BackendChoice {
   BackendServerId server;
   Distance distance = Distance::kSameFailureDomain;
-  bool warm = false;  ///< It has handled the object for this host of late.
+  bool warm = false;  ///< It is taken to have handled the object of late.
+  /// Other objects that this host has sent there since the object, if known.
+  std::optional<std::size_t> objects_since{};
   Duration expected{};  ///< Time until its answer, without the network.
 
   friend bool operator==(const BackendChoice&, const BackendChoice&) = default;
--- a/src/comfreyvane/edge/backend_entry.h
+++ b/src/comfreyvane/edge/backend_entry.h
@@ -21,7 +21,7 @@
   FailureDomainId failure_domain;
   std::uint32_t slots = 1;
   bool draining = false;
-  Duration cold_for{};        ///< From the moment the entry was read.
+  Duration cold_for{};          ///< From the moment the entry was read.
   std::int64_t started_ms = 0;  ///< Unix time of its start, milliseconds.
 
   [[nodiscard]] BackendServerId id() const { return BackendServerId::Of(name); }
--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -18,19 +18,34 @@
 
 /// What a server farther away costs beyond its delay, as time: the price of
 /// traffic between failure domains and between regions.
-constexpr double kSameRegionCostMs = 60.0;
-constexpr double kOtherRegionCostMs = 250.0;
+constexpr double kSameRegionCostMs = 25.0;
+constexpr double kOtherRegionCostMs = 120.0;
 
-/// Weight of the preference by rendezvous hashing, milliseconds.
-constexpr double kRendezvousCostMs = 60.0;
+/// Weight of the order by rendezvous hashing among servers that are alike, so
+/// that all hosts overflow to the same ones, milliseconds.
+constexpr double kRendezvousCostMs = 40.0;
 
 /// Part of the expected time that a full server adds.
-constexpr double kLoadCost = 0.3;
+constexpr double kLoadCost = 0.2;
 
 /// Times the expected time that a silent server adds.
 constexpr double kSuspectCost = 3.0;
 
-/// Most rate that is taken in at once: what a server sends in an answer.
+/// What a server that this host has not used yet is preferred by, so that a new
+/// one is soon in use, milliseconds.
+constexpr double kIntroductionMs = 2000.0;
+
+/// Requests that may wait at a server, for each of its slots.
+constexpr double kWaitingPerSlot = 1.0;
+
+/// Part of its fair share of the servers with which a region counts as large
+/// enough for all of its objects.
+constexpr double kRegionShare = 0.75;
+
+/// Salt of the hash that says which objects of a small region are at home in
+/// others.
+constexpr std::uint64_t kAbroadSalt = 0x61627264;
+
 double Milliseconds(Duration span) {
   return std::chrono::duration<double, std::milli>(span).count();
 }
@@ -127,31 +142,44 @@
     const Slot* slot = nullptr;
     double cost = 0.0;
     bool warm = false;
+    Duration expected{};
   };
   Best near;
   Best far;
+  const Slot* const home = request.object == 0
+                               ? nullptr
+                               : HomeOf(request.object, found->second, now);
   for (const Slot* slot : found->second) {
     if (!Usable(*slot, request, now))
       continue;
+    const BackendState& state = slot->state;
     const bool is_warm =
-        request.object == 0 || slot->state.IsWarm(request.object, now);
-    const double cost = Cost(*slot, request, is_warm ? warm : cold, now);
+        request.object == 0 || slot == home ||
+        warmth_.IsWarm(request.service, state.ObjectsSince(request.object));
+    const Duration work(static_cast<Duration::rep>(
+        static_cast<double>((is_warm ? warm : cold).count()) *
+        state.slowness()));
+    const Duration wait = Wait(*slot, now);
+    if (wait > Duration::zero() && now + wait + work > request.deadline)
+      continue;
+    double cost = Cost(*slot, wait + work, now);
+    if (request.object != 0) {
+      const std::uint64_t id = state.entry().id().value();
+      cost += kRendezvousCostMs * Unit(HashPair(request.object, id));
+    }
     Best& best = slot->distance == Distance::kOtherRegion ? far : near;
     if (best.slot == nullptr || cost < best.cost)
-      best = {slot, cost, is_warm};
+      best = {slot, cost, is_warm, wait + work};
   }
   const bool may_leave = far.slot != nullptr && spill_.MayLeave(now);
-  const bool leaves = near.slot == nullptr || far.cost < near.cost ||
-                      spill_.ShouldLeave(now);
+  const bool leaves =
+      near.slot == nullptr || far.cost < near.cost || spill_.ShouldLeave(now);
   const Best& best = may_leave && leaves ? far : near;
   if (best.slot == nullptr)
     return std::nullopt;
-  const double expected =
-      static_cast<double>((best.warm ? warm : cold).count()) *
-      best.slot->state.slowness();
   return BackendChoice{best.slot->state.entry().id(), best.slot->distance,
-                       best.warm,
-                       Duration(static_cast<Duration::rep>(expected))};
+                       best.warm, best.slot->state.ObjectsSince(request.object),
+                       best.expected};
 }
 
 bool BackendPicker::Usable(const Slot& slot,
@@ -162,7 +190,8 @@
   if (state.leaving() || state.IsEjected(now) ||
       evacuated_.contains(entry.failure_domain))
     return false;
-  if (state.own() + state.Others(now) + 1.0 > entry.slots + 0.5)
+  const double most = (1.0 + kWaitingPerSlot) * entry.slots;
+  if (state.own() + state.Others(now) + 1.0 > most)
     return false;
   if (state.IsCold(now) && !state.HasColdToken(slot.cold_rate, now))
     return false;
@@ -174,26 +203,71 @@
                    entry.id()) == request.excluded.end();
 }
 
-double BackendPicker::Cost(const Slot& slot,
-                           const PickRequest& request,
-                           Duration expected,
-                           TimePoint now) const {
+Duration BackendPicker::Wait(const Slot& slot, TimePoint now) {
+  const BackendState& state = slot.state;
+  const double slots = std::max(1U, state.entry().slots);
+  const double waiting = state.own() + state.Others(now) + 1.0 - slots;
+  if (waiting <= 0.5)
+    return Duration::zero();
+  return Duration(static_cast<Duration::rep>(
+      waiting / slots * static_cast<double>(state.mean_run().count())));
+}
+
+bool BackendPicker::MayBeHome(const Slot& slot, TimePoint now) const {
+  const BackendState& state = slot.state;
+  return !state.leaving() && !state.IsCold(now) && !state.IsEjected(now) &&
+         !evacuated_.contains(state.entry().failure_domain);
+}
+
+const BackendPicker::Slot* BackendPicker::HomeOf(
+    std::uint64_t object,
+    const std::vector<Slot*>& slots,
+    TimePoint now) const {
+  std::unordered_set<RegionId> regions;
+  double all = 0.0;
+  double own = 0.0;
+  for (const Slot* slot : slots) {
+    if (slot->state.leaving())
+      continue;
+    regions.insert(slot->region);
+    all += 1.0;
+    own += slot->region == self_.region ? 1.0 : 0.0;
+  }
+  // A region with few servers has part of its objects at home elsewhere.
+  const double fair =
+      all / static_cast<double>(std::max<std::size_t>(1, regions.size()));
+  const bool abroad =
+      own < kRegionShare * fair &&
+      Unit(HashPair(kAbroadSalt, object)) > own / (kRegionShare * fair);
+  const Slot* home = nullptr;
+  std::uint64_t best = 0;
+  for (const Slot* slot : slots) {
+    if ((slot->region == self_.region) == abroad || !MayBeHome(*slot, now))
+      continue;
+    const std::uint64_t hash =
+        HashPair(slot->state.entry().id().value(), object);
+    if (home == nullptr || hash > best) {
+      home = slot;
+      best = hash;
+    }
+  }
+  return home;
+}
+
+double BackendPicker::Cost(const Slot& slot, Duration expected, TimePoint now) {
   const BackendState& state = slot.state;
-  const double work = Milliseconds(expected) * state.slowness();
-  const double load = (state.own() + state.Others(now)) /
-                      std::max(1U, state.entry().slots);
-  double cost = work * (1.0 + kLoadCost * load * load);
+  const double time = Milliseconds(expected);
+  const double load = std::min(1.0, (state.own() + state.Others(now)) /
+                                        std::max(1U, state.entry().slots));
+  double cost = time * (1.0 + kLoadCost * load * load);
   if (slot.distance == Distance::kSameRegion)
     cost += kSameRegionCostMs;
   else if (slot.distance == Distance::kOtherRegion)
     cost += kOtherRegionCostMs;
-  if (request.object != 0) {
-    const std::uint64_t hash =
-        HashPair(request.object, state.entry().id().value());
-    cost += kRendezvousCostMs * Unit(hash);
-  }
   if (state.IsSuspect(expected, now))
-    cost += kSuspectCost * work;
+    cost += kSuspectCost * time;
+  if (!state.used() && slot.distance == Distance::kSameFailureDomain)
+    cost -= kIntroductionMs;
   return cost;
 }
 
@@ -226,13 +300,19 @@
   if (outcome == RequestOutcome::kOk) {
     const Duration ordinary(static_cast<Duration::rep>(
         static_cast<double>(latency.count()) / state.slowness()));
-    latencies_.Add(request.kind, choice.warm, ordinary);
+    const Duration warm =
+        latencies_.Expected(request.kind, true, request.objective);
+    const Duration cold =
+        latencies_.Expected(request.kind, false, request.objective);
+    const bool was_warm = 2 * ordinary < warm + cold;
+    latencies_.Add(request.kind, was_warm, ordinary);
+    if (request.object != 0 && choice.objects_since)
+      warmth_.Add(request.service, *choice.objects_since, was_warm);
   }
   const bool ejected = state.IsEjected(now);
   state.OnFinished(outcome, latency, expected, request.object, now);
   if (!ejected && state.IsEjected(now) &&
-      found->second->region == self_.region &&
-      outcome != RequestOutcome::kShed)
+      found->second->region == self_.region && outcome != RequestOutcome::kShed)
     spill_.Release(now + kSpillRelease);
 }
 
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -17,14 +17,15 @@
 #include "comfreyvane/edge/latency_model.h"
 #include "comfreyvane/edge/pick_request.h"
 #include "comfreyvane/edge/spill_ramp.h"
+#include "comfreyvane/edge/warmth_model.h"
 
 namespace comfreyvane {
 
 /// Chooses the backend server of each request of one host: the one with room
 /// whose answer is expected first. The expectation counts whether the server
-/// has the request's object warm, its speed and load, and the way there. Among
-/// servers that are alike, all hosts prefer the same ones for an object by
-/// rendezvous hashing, so that each object is warm at few servers.
+/// has the request's object warm, its speed and load, and the way there. Each
+/// object has a home in each region, by rendezvous hashing, that all hosts take
+/// for warm, so that it is warm at few servers.
 class BackendPicker {
  public:
   /// Where this host is.
@@ -99,10 +100,19 @@
   [[nodiscard]] bool Usable(const Slot& slot,
                             const PickRequest& request,
                             TimePoint now) const;
-  [[nodiscard]] double Cost(const Slot& slot,
-                            const PickRequest& request,
-                            Duration expected,
-                            TimePoint now) const;
+  /// @return the time that a request would wait for a slot.
+  [[nodiscard]] static Duration Wait(const Slot& slot, TimePoint now);
+  /// @param expected time until the answer.
+  [[nodiscard]] static double Cost(const Slot& slot,
+                                   Duration expected,
+                                   TimePoint now);
+  /// @return whether a server may be the home of an object.
+  [[nodiscard]] bool MayBeHome(const Slot& slot, TimePoint now) const;
+  /// @return the server that all hosts of this region take for an object's
+  ///     home, or null.
+  [[nodiscard]] const Slot* HomeOf(std::uint64_t object,
+                                   const std::vector<Slot*>& slots,
+                                   TimePoint now) const;
 
   Location self_;
   std::unordered_map<FailureDomainId, RegionId> regions_;
@@ -110,6 +120,7 @@
   std::unordered_map<ServiceId, std::vector<Slot*>> by_service_;
   std::unordered_set<FailureDomainId> evacuated_;
   LatencyModel latencies_;
+  WarmthModel warmth_;
   SpillRamp spill_;
 };
 
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -5,15 +5,16 @@
 namespace comfreyvane {
 namespace {
 
-/// Objects of which a server is remembered as warm, by host.
-constexpr std::size_t kWarmObjects = 1024;
-
-/// An object that was not handled for so long counts as cold.
-constexpr Duration kWarmMemory = std::chrono::seconds(60);
+/// Latest objects of a server that are remembered.
+constexpr std::size_t kObjects = 64;
 
 /// A load report loses its weight over this time.
 constexpr Duration kReportMemory = std::chrono::milliseconds(1500);
 
+/// A load report this young goes before what peers have told: it is younger
+/// than half of the interval of their messages.
+constexpr Duration kFreshReport = std::chrono::milliseconds(250);
+
 /// What peers tell of their use loses its weight after this time: three of
 /// their messages.
 constexpr Duration kPeerMemory = std::chrono::milliseconds(1500);
@@ -51,29 +52,35 @@
 }
 
 double BackendState::Others(TimePoint now) const {
+  // Each answer reports the load; between answers the peers' own counts serve.
+  const Duration report_age = now - reported_at_;
+  if (report_age < kFreshReport)
+    return reported_others_;
   if (now - peers_heard_at_ < kPeerMemory)
     return peer_running_;
-  const Duration age = now - reported_at_;
-  if (age >= kReportMemory)
+  if (report_age >= kReportMemory)
     return 0.0;
-  return reported_others_ * (1.0 - static_cast<double>(age.count()) /
-                                       static_cast<double>(
-                                           kReportMemory.count()));
+  return reported_others_ *
+         (1.0 - static_cast<double>(report_age.count()) /
+                    static_cast<double>(kReportMemory.count()));
 }
 
 bool BackendState::IsSuspect(Duration expected, TimePoint now) const {
   if (own_ == 0 || silent_since_ > now)
     return false;
-  const auto limit = std::max(
-      kLeastSuspectTime,
-      Duration(static_cast<Duration::rep>(
-          kSuspectFactor * static_cast<double>(expected.count()))));
+  const auto limit =
+      std::max(kLeastSuspectTime,
+               Duration(static_cast<Duration::rep>(
+                   kSuspectFactor * static_cast<double>(expected.count()))));
   return now - silent_since_ > limit;
 }
 
-bool BackendState::IsWarm(std::uint64_t object, TimePoint now) const {
-  const auto found = handled_.find(object);
-  return found != handled_.end() && now - found->second < kWarmMemory;
+std::optional<std::size_t> BackendState::ObjectsSince(
+    std::uint64_t object) const {
+  const auto found = std::find(objects_.begin(), objects_.end(), object);
+  if (found == objects_.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(found - objects_.begin());
 }
 
 void BackendState::Update(const BackendEntry& entry, TimePoint now) {
@@ -81,7 +88,8 @@
   entry_ = entry;
   gone_ = false;
   if (new_life) {
-    handled_.clear();
+    objects_.clear();
+    used_ = false;
     slowness_ = 1.0;
     failures_ = 0.0;
     samples_ = 0;
@@ -100,6 +108,7 @@
   if (own_ == 0)
     silent_since_ = now;
   ++own_;
+  used_ = true;
 }
 
 void BackendState::OnFinished(RequestOutcome outcome,
@@ -116,6 +125,16 @@
     ejected_until_ = std::max(ejected_until_, now + kShedHold);
     return;
   }
+  const double ratio = expected > Duration::zero()
+                           ? static_cast<double>(latency.count()) /
+                                 static_cast<double>(expected.count())
+                           : 1.0;
+  if (outcome == RequestOutcome::kTimeout) {
+    // Cut short at the deadline: how long it would have taken is not known.
+    if (ratio > slowness_)
+      slowness_ += kSlownessGain * (std::min(ratio, kMostSlowness) - slowness_);
+    return;
+  }
   ++samples_;
   const bool ok = outcome == RequestOutcome::kOk;
   failures_ += kFailureGain * ((ok ? 0.0 : 1.0) - failures_);
@@ -129,21 +148,18 @@
   }
   silent_since_ = now;
   ejections_in_row_ = 0;
-  if (expected > Duration::zero()) {
-    const double ratio = static_cast<double>(latency.count()) /
-                         static_cast<double>(expected.count());
-    slowness_ += kSlownessGain * (ratio - slowness_);
-    slowness_ = std::clamp(slowness_, kLeastSlowness, kMostSlowness);
-  }
+  slowness_ += kSlownessGain * (ratio - slowness_);
+  slowness_ = std::clamp(slowness_, kLeastSlowness, kMostSlowness);
+  mean_run_ += Duration(static_cast<Duration::rep>(
+      kSlownessGain * static_cast<double>((latency - mean_run_).count())));
   if (object == 0)
     return;
-  if (handled_.size() >= kWarmObjects && !handled_.contains(object)) {
-    const auto oldest = std::min_element(
-        handled_.begin(), handled_.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; });
-    handled_.erase(oldest);
-  }
-  handled_[object] = now;
+  const auto found = std::find(objects_.begin(), objects_.end(), object);
+  if (found != objects_.end())
+    objects_.erase(found);
+  else if (objects_.size() >= kObjects)
+    objects_.pop_back();
+  objects_.insert(objects_.begin(), object);
 }
 
 void BackendState::OnLoad(const LoadReport& report, TimePoint now) {
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -4,7 +4,8 @@
 #define COMFREYVANE_EDGE_BACKEND_STATE_H_
 
 #include <cstdint>
-#include <unordered_map>
+#include <optional>
+#include <vector>
 
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/backend_entry.h"
@@ -35,8 +36,16 @@
   /// @return whether it has been silent for too long on a request of this host.
   [[nodiscard]] bool IsSuspect(Duration expected, TimePoint now) const;
 
-  /// @return whether it has handled the object for this host of late.
-  [[nodiscard]] bool IsWarm(std::uint64_t object, TimePoint now) const;
+  /// @return how many other objects this host has sent here since the object;
+  ///     none if it was not sent here of late.
+  [[nodiscard]] std::optional<std::size_t> ObjectsSince(
+      std::uint64_t object) const;
+
+  /// @return average time of its answers, of this host's requests.
+  [[nodiscard]] Duration mean_run() const { return mean_run_; }
+
+  /// @return whether this host has sent it a request.
+  [[nodiscard]] bool used() const { return used_; }
 
   /// Takes over a changed entry.
   void Update(const BackendEntry& entry, TimePoint now);
@@ -81,7 +90,9 @@
   TimePoint reported_at_{};
   double peer_running_ = 0.0;
   TimePoint peers_heard_at_{};
-  std::unordered_map<std::uint64_t, TimePoint> handled_;
+  Duration mean_run_{};
+  bool used_ = false;
+  std::vector<std::uint64_t> objects_;  ///< The latest first, each once.
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/edge_route.h
+++ b/src/comfreyvane/edge/edge_route.h
@@ -20,13 +20,13 @@
   std::string host;    ///< Name in the Host field.
   std::string prefix;  ///< Begins and ends with a slash.
   std::vector<ServiceShare> services;
-  bool idempotent = false;  ///< May run more than once.
-  bool open = false;        ///< Needs no key.
-  bool sticky = false;      ///< Backend servers keep objects warm.
+  bool idempotent = false;     ///< May run more than once.
+  bool open = false;           ///< Needs no key.
+  bool sticky = false;         ///< Backend servers keep objects warm.
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   std::uint32_t max_attempts = 1;
   Duration timeout{};
-  Duration objective{};  ///< Answers within it have their full value.
+  Duration objective{};           ///< Answers within it have their full value.
   std::vector<RegionId> regions;  ///< Where it may be served; empty: anywhere.
 
   friend bool operator==(const EdgeRoute&, const EdgeRoute&) = default;
--- a/src/comfreyvane/edge/edge_workspace.h
+++ b/src/comfreyvane/edge/edge_workspace.h
@@ -16,9 +16,9 @@
 struct EdgeWorkspace {
   std::string name;
   std::vector<std::string> keys;
-  std::uint32_t priority = 0;  ///< 0 is the most urgent; before the route's.
-  double rate = 0.0;           ///< Requests/s; 0: no limit.
-  double burst = 0.0;          ///< Requests.
+  std::uint32_t priority = 0;     ///< 0 is the most urgent; before the route's.
+  double rate = 0.0;              ///< Requests/s; 0: no limit.
+  double burst = 0.0;             ///< Requests.
   std::vector<RegionId> regions;  ///< Where it may be served; empty: anywhere.
 
   friend bool operator==(const EdgeWorkspace&, const EdgeWorkspace&) = default;
--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -26,6 +26,7 @@
 class RouteTable;
 class ShareSplitter;
 class SpillRamp;
+class WarmthModel;
 class WorkspaceLimiter;
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/latency_model.cc
+++ b/src/comfreyvane/edge/latency_model.cc
@@ -26,8 +26,8 @@
     estimate.cold_ns = static_cast<double>(first.count());
   if (estimate.warm_ns == 0.0)
     estimate.warm_ns = kFirstWarmRatio * estimate.cold_ns;
-  return Duration(static_cast<Duration::rep>(warm ? estimate.warm_ns
-                                                  : estimate.cold_ns));
+  return Duration(
+      static_cast<Duration::rep>(warm ? estimate.warm_ns : estimate.cold_ns));
 }
 
 void LatencyModel::Add(std::uint64_t kind, bool warm, Duration sample) {
--- a/src/comfreyvane/edge/pick_request.h
+++ b/src/comfreyvane/edge/pick_request.h
@@ -19,6 +19,7 @@
   std::uint64_t object = 0;  ///< What the request is about; 0: unknown.
   bool idempotent = false;
   Duration objective{};  ///< First estimate of the time at a server.
+  TimePoint deadline = TimePoint::max();  ///< Later answers are of no use.
   std::vector<RegionId> regions;  ///< Where it may run; empty: anywhere.
   std::vector<BackendServerId> excluded;  ///< Tried already.
 
--- a/src/comfreyvane/edge/poison_guard.cc
+++ b/src/comfreyvane/edge/poison_guard.cc
@@ -68,10 +68,10 @@
   });
   if (records_.size() < kMostRecords)
     return;
-  records_.erase(std::min_element(
-      records_.begin(), records_.end(), [](const auto& a, const auto& b) {
-        return a.second.noted < b.second.noted;
-      }));
+  records_.erase(std::min_element(records_.begin(), records_.end(),
+                                  [](const auto& a, const auto& b) {
+                                    return a.second.noted < b.second.noted;
+                                  }));
 }
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/workspace_limiter.cc
+++ b/src/comfreyvane/edge/workspace_limiter.cc
@@ -33,8 +33,8 @@
   std::unordered_map<WorkspaceId, Bucket> next;
   for (const EdgeWorkspace& workspace : workspaces) {
     const WorkspaceId id = WorkspaceId::Of(workspace.name);
-    Bucket bucket{.rate = workspace.rate, .burst = workspace.burst,
-                  .updated = now};
+    Bucket bucket{
+        .rate = workspace.rate, .burst = workspace.burst, .updated = now};
     const auto found = buckets_.find(id);
     if (found != buckets_.end()) {
       Refill(found->second, now);
@@ -134,8 +134,8 @@
 double WorkspaceLimiter::TokensAt(const Bucket& bucket, TimePoint now) const {
   if (now <= bucket.updated)
     return bucket.tokens;
-  const double refilled = bucket.tokens + bucket.rate * share_ *
-                                              Seconds(now - bucket.updated);
+  const double refilled =
+      bucket.tokens + bucket.rate * share_ * Seconds(now - bucket.updated);
   return std::max(bucket.tokens, std::min(refilled, Capacity(bucket)));
 }
 
--- a/src/comfreyvane/gateway/backend_call.cc
+++ b/src/comfreyvane/gateway/backend_call.cc
@@ -35,6 +35,7 @@
 constexpr unsigned kSuccessClass = 2;
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kDeadlinePassed = 504;
 
 Duration AnnouncedIdle(const boost::beast::http::response_header<>& head) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -50,8 +51,8 @@
   if (error != std::errc() || end == begin)
     return Duration::max();
   return Duration(static_cast<Duration::rep>(
-      kAnnouncedPart * static_cast<double>(
-                           Duration(std::chrono::seconds(seconds)).count())));
+      kAnnouncedPart *
+      static_cast<double>(Duration(std::chrono::seconds(seconds)).count())));
 }
 
 }  // namespace
@@ -140,9 +141,8 @@
     result.outcome = RequestOutcome::kCancelled;
     co_return;
   }
-  StreamedMessage<true> message(HeadToBackend(head, request, entry.name,
-                                              request.deadline - now,
-                                              context_.headers));
+  StreamedMessage<true> message(HeadToBackend(
+      head, request, entry.name, request.deadline - now, context_.headers));
   const ExchangeFailure failure = co_await attempt.connection->Write(
       message, request.body, true, request.deadline);
   attempt.sent = message.bytes_written() > 0;
@@ -265,8 +265,12 @@
     OnFailure(attempt, ExchangeFailure::kMalformed);
     return;
   }
-  result.outcome = status >= kFirstServerError ? RequestOutcome::kFailed
-                                               : RequestOutcome::kOk;
+  if (status == kDeadlinePassed)
+    result.outcome = RequestOutcome::kTimeout;
+  else if (status >= kFirstServerError)
+    result.outcome = RequestOutcome::kFailed;
+  else
+    result.outcome = RequestOutcome::kOk;
 }
 
 void BackendCall::Keep(BackendServerId server,
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -21,8 +21,8 @@
 constexpr Duration kMostRetryAfter = std::chrono::seconds(1);
 
 Duration Scaled(Duration span, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      factor * static_cast<double>(span.count())));
+  return Duration(
+      static_cast<Duration::rep>(factor * static_cast<double>(span.count())));
 }
 
 }  // namespace
@@ -112,9 +112,8 @@
 TimePoint GatewayDispatcher::GiveUpAt(const GatewayRequest& request) const {
   const Duration objective = request.route->objective;
   const Duration work = context_.backends.ExpectedWarm(request.pick);
-  const Duration wait =
-      std::max(Scaled(objective - work, kWaitPart),
-               Scaled(objective, kLateWaitPart));
+  const Duration wait = std::max(Scaled(objective - work, kWaitPart),
+                                 Scaled(objective, kLateWaitPart));
   return std::min(request.started + wait, request.deadline);
 }
 
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -53,8 +53,7 @@
 std::string SecondsText(Duration span) {
   std::array<char, 32> text{};
   const double seconds = std::chrono::duration<double>(span).count();
-  const int size =
-      std::snprintf(text.data(), text.size(), "%.2f", seconds);
+  const int size = std::snprintf(text.data(), text.size(), "%.2f", seconds);
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
@@ -101,8 +100,8 @@
                                          : RefusalReason::kKeyUnknown);
     }
   }
-  request.deadline = request.started +
-                     std::min(request.patience, request.route->timeout);
+  request.deadline =
+      request.started + std::min(request.patience, request.route->timeout);
   request.urgency = {
       request.workspace == nullptr ? 0 : request.workspace->priority,
       request.route->priority};
@@ -121,6 +120,7 @@
     pick.object = HashPair(route_hash, HashBytes(object));
   pick.idempotent = route.idempotent;
   pick.objective = route.objective;
+  pick.deadline = request.deadline;
   pick.regions = route.regions;
   if (request.workspace != nullptr && !request.workspace->regions.empty()) {
     const auto& allowed = request.workspace->regions;
@@ -133,9 +133,9 @@
     if (pick.regions.empty())
       pick.regions.push_back(RegionId());
   }
-  const double slack = context_.settings.retry_slack * kRetryBudgetPart /
-                       static_cast<double>(
-                           std::max<std::size_t>(1, context_.fleet.size()));
+  const double slack =
+      context_.settings.retry_slack * kRetryBudgetPart /
+      static_cast<double>(std::max<std::size_t>(1, context_.fleet.size()));
   const auto [budget, added] = context_.retries.try_emplace(
       pick.service, context_.settings.retry_ratio * kRetryBudgetPart, slack);
   budget->second.OnSuccess();
@@ -143,8 +143,8 @@
 
 void GatewayHandler::SetFingerprint(const http::request_header<>& head,
                                     GatewayRequest& request) const {
-  const std::uint64_t content = HashPair(HashBytes(View(head.target())),
-                                         HashBytes(request.body));
+  const std::uint64_t content =
+      HashPair(HashBytes(View(head.target())), HashBytes(request.body));
   request.fingerprint = HashPair(request.workspace_id().value(), content);
 }
 
@@ -169,8 +169,7 @@
     return false;
   const auto expected =
       static_cast<double>(context_.backends.ExpectedWarm(request.pick).count());
-  const Duration needed(
-      static_cast<Duration::rep>(kLeastTimePart * expected));
+  const Duration needed(static_cast<Duration::rep>(kLeastTimePart * expected));
   if (now + needed > request.deadline)
     return false;
   if (!context_.poison.MayRun(request.fingerprint, now))
@@ -204,12 +203,17 @@
       {{"id", request.id},
        {"server", state == nullptr ? std::string_view("gone")
                                    : std::string_view(state->entry().name)},
+       {"route", request.route->name.c_str()},
+       {"object", Field::Hex{request.pick.object}},
        {"warm", choice.warm},
        {"distance", static_cast<int>(choice.distance)},
        {"run", result.run_state},
        {"status", result.head ? result.head->result_int() : 0U},
-       {"reason", result.head ? std::string_view("answered")
-                              : Name(result.reason)},
+       {"reason",
+        result.head ? std::string_view("answered") : Name(result.reason)},
+       {"running", state == nullptr ? 0U : state->own()},
+       {"others", state == nullptr ? 0.0 : state->Others(now)},
+       {"waited_ms", now - request.started - latency},
        {"took_ms", latency},
        {"expected_ms", choice.expected}});
 }
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -25,8 +25,7 @@
 /// passes its answer on.
 class GatewayHandler {
  public:
-  using Answer =
-      boost::beast::http::response<boost::beast::http::string_body>;
+  using Answer = boost::beast::http::response<boost::beast::http::string_body>;
 
   GatewayHandler(GatewayContext& context,
                  GatewayDispatcher& dispatcher,
@@ -125,8 +124,8 @@
       exchange.Abort();
       go_on = false;
     } else {
-      Answer answer = RefusalAnswer(request, *refusal,
-                                    exchange.head().version(), go_on);
+      Answer answer =
+          RefusalAnswer(request, *refusal, exchange.head().version(), go_on);
       const ExchangeFailure failure = co_await exchange.WriteAnswer(answer);
       go_on = go_on && failure == ExchangeFailure::kNone;
     }
@@ -164,9 +163,8 @@
   }
   if (!context_.limiter.TryTake(request.workspace_id(), now)) {
     peers_.WantTokens(request.workspace_id(), now);
-    co_return Refusal{
-        RefusalReason::kRateExceeded, RunState::kNotRun,
-        context_.limiter.UntilToken(request.workspace_id(), now)};
+    co_return Refusal{RefusalReason::kRateExceeded, RunState::kNotRun,
+                      context_.limiter.UntilToken(request.workspace_id(), now)};
   }
   SetPick(exchange.head(), request);
   auto refusal = co_await RunAttempts(exchange, request);
@@ -201,8 +199,8 @@
     if (chunk.failure == ExchangeFailure::kTimeout)
       co_return Refusal{RefusalReason::kSlowCaller, RunState::kNotRun, {}};
     if (chunk.failure == ExchangeFailure::kMalformed)
-      co_return Refusal{RefusalReason::kMalformedRequest, RunState::kNotRun,
-                        {}};
+      co_return Refusal{
+          RefusalReason::kMalformedRequest, RunState::kNotRun, {}};
     if (chunk.failure != ExchangeFailure::kNone)
       co_return Refusal{RefusalReason::kCallerGone, RunState::kNotRun, {}};
   }
@@ -275,8 +273,8 @@
     co_await PassRest(exchange, request, result);
     co_return std::nullopt;
   }
-  Answer answer = AnswerOf(result, exchange.head().version(),
-                           exchange.keep_alive());
+  Answer answer =
+      AnswerOf(result, exchange.head().version(), exchange.keep_alive());
   if (request.to_head && result.head->count("Content-Length") > 0)
     answer.set(boost::beast::http::field::content_length,
                result.head->at("Content-Length"));
@@ -292,8 +290,8 @@
 asio::awaitable<void> GatewayHandler::PassRest(Exchange& exchange,
                                                const GatewayRequest& request,
                                                CallResult& result) {
-  Answer whole = AnswerOf(result, exchange.head().version(),
-                          exchange.keep_alive());
+  Answer whole =
+      AnswerOf(result, exchange.head().version(), exchange.keep_alive());
   const auto length = result.connection->answer().content_length();
   if (length)
     whole.content_length(*length);
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -48,7 +48,10 @@
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         timer_(io_),
         sweeper_(io_),
-        context_{settings, Platform::Headers(), {}, nullptr,
+        context_{settings,
+                 Platform::Headers(),
+                 {},
+                 nullptr,
                  BackendPicker(LocationOf(settings), DomainsOf(settings)),
                  FleetView(SelfOf(settings))},
         dispatcher_(context_, io_),
@@ -57,12 +60,27 @@
         peers_(state_, io_, incarnation),
         handler_(context_, dispatcher_, calls_, peers_),
         look_ups_(context_),
-        callers_(io_, EndpointOf(settings.callers), PortSharing::kExclusive,
-                 nullptr, sweeper_, HttpLimits{}, handler_),
-        readiness_(io_, EndpointOf(settings.readiness), PortSharing::kExclusive,
-                   nullptr, sweeper_, HttpLimits{}, look_ups_),
-        directory_(io_, EndpointOf(settings.lookups), PortSharing::kExclusive,
-                   nullptr, sweeper_, HttpLimits{}, look_ups_),
+        callers_(io_,
+                 EndpointOf(settings.callers),
+                 PortSharing::kExclusive,
+                 nullptr,
+                 sweeper_,
+                 HttpLimits{},
+                 handler_),
+        readiness_(io_,
+                   EndpointOf(settings.readiness),
+                   PortSharing::kExclusive,
+                   nullptr,
+                   sweeper_,
+                   HttpLimits{},
+                   look_ups_),
+        directory_(io_,
+                   EndpointOf(settings.lookups),
+                   PortSharing::kExclusive,
+                   nullptr,
+                   sweeper_,
+                   HttpLimits{},
+                   look_ups_),
         store_(io_, sweeper_, EndpointOf(settings.platform)),
         follower_(state_, io_, store_, incarnation) {
     state_.OnInForce([this](const RouteTable& table) { SetLimits(table); });
@@ -110,14 +128,14 @@
     return regions;
   }
   [[nodiscard]] static FleetHost SelfOf(const GatewaySettings& settings) {
-    return {settings.name,
-            settings.region,
-            settings.failure_domain,
-            settings.callers.address + ':' +
-                std::to_string(settings.callers.port),
-            settings.peers.address,
-            settings.peers.port,
-            settings.processor_share};
+    return {
+        settings.name,
+        settings.region,
+        settings.failure_domain,
+        settings.callers.address + ':' + std::to_string(settings.callers.port),
+        settings.peers.address,
+        settings.peers.port,
+        settings.processor_share};
   }
 
   void SetLimits(const RouteTable& table) {
@@ -200,8 +218,8 @@
           return true;
         },
         [](const SettingsErrors&) { return false; }, [] { return false; });
-    Log(read ? LogLevel::kInfo : LogLevel::kError,
-        "settings-reloaded", {{"cause", cause}, {"accepted", read}});
+    Log(read ? LogLevel::kInfo : LogLevel::kError, "settings-reloaded",
+        {{"cause", cause}, {"accepted", read}});
   }
 
   void BeginStop(TimePoint now) {
--- a/src/comfreyvane/gateway/gateway_request.h
+++ b/src/comfreyvane/gateway/gateway_request.h
@@ -26,7 +26,7 @@
   std::shared_ptr<const RouteTable> table;
   const EdgeRoute* route = nullptr;
   const EdgeWorkspace* workspace = nullptr;  ///< Null on open routes.
-  std::string key;  ///< Never passed on.
+  std::string key;                           ///< Never passed on.
   Urgency urgency;
   PickRequest pick;
   std::uint64_t fingerprint = 0;  ///< Of workspace, path and body.
--- a/src/comfreyvane/gateway/gateway_settings.h
+++ b/src/comfreyvane/gateway/gateway_settings.h
@@ -15,24 +15,24 @@
 
 /// What a gateway learns from its settings file.
 struct GatewaySettings {
-  std::string name;            ///< host.name
-  std::string failure_domain;  ///< host.failure_domain
-  std::string region;          ///< host.region
-  double processor_share = 1.0;          ///< host.processor_share
-  std::uint32_t memory_mb = 256;         ///< host.memory_mb
+  std::string name;               ///< host.name
+  std::string failure_domain;     ///< host.failure_domain
+  std::string region;             ///< host.region
+  double processor_share = 1.0;   ///< host.processor_share
+  std::uint32_t memory_mb = 256;  ///< host.memory_mb
   /// domains.*: the region of each failure domain.
   std::map<std::string, std::string> domains;
-  Endpoint callers;    ///< listen.callers
-  Endpoint readiness;  ///< listen.readiness
-  Endpoint lookups;    ///< listen.lookups
-  Endpoint peers;      ///< listen.peers
-  Endpoint metrics;    ///< listen.metrics
-  Endpoint platform;   ///< platform.address
-  LogLevel log_level = LogLevel::kInfo;        ///< log.level
-  Duration grace = std::chrono::seconds(6);    ///< stop.grace_ms
+  Endpoint callers;                               ///< listen.callers
+  Endpoint readiness;                             ///< listen.readiness
+  Endpoint lookups;                               ///< listen.lookups
+  Endpoint peers;                                 ///< listen.peers
+  Endpoint metrics;                               ///< listen.metrics
+  Endpoint platform;                              ///< platform.address
+  LogLevel log_level = LogLevel::kInfo;           ///< log.level
+  Duration grace = std::chrono::seconds(6);       ///< stop.grace_ms
   Duration lookup_ttl = std::chrono::seconds(2);  ///< lookups.ttl_ms
-  double retry_ratio = 0.2;                    ///< retries.ratio
-  double retry_slack = 50.0;                   ///< retries.slack
+  double retry_ratio = 0.2;                       ///< retries.ratio
+  double retry_slack = 50.0;                      ///< retries.slack
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -57,10 +57,10 @@
 void GatewayState::UpsertBackend(const BackendEntry& entry, TimePoint now) {
   const BackendState* const known = context_.backends.Find(entry.id());
   const bool same = known != nullptr && known->entry() == entry;
-  const bool moved = known != nullptr &&
-                     (known->entry().address != entry.address ||
-                      known->entry().port != entry.port ||
-                      known->entry().started_ms != entry.started_ms);
+  const bool moved =
+      known != nullptr && (known->entry().address != entry.address ||
+                           known->entry().port != entry.port ||
+                           known->entry().started_ms != entry.started_ms);
   context_.backends.Upsert(entry, now);
   if (moved || entry.draining)
     calls_.Drop(entry.id());
--- a/src/comfreyvane/gateway/look_up_handler.h
+++ b/src/comfreyvane/gateway/look_up_handler.h
@@ -27,8 +27,7 @@
 template <typename Dialect>
 class LookUpHandler {
  public:
-  using Answer =
-      boost::beast::http::response<boost::beast::http::string_body>;
+  using Answer = boost::beast::http::response<boost::beast::http::string_body>;
 
   explicit LookUpHandler(GatewayContext& context) : context_(context) {}
 
@@ -48,8 +47,8 @@
   template <typename Exchange>
   [[nodiscard]] asio::awaitable<void> Refuse(Exchange& exchange,
                                              RefusalReason reason) {
-    Answer answer(
-        static_cast<boost::beast::http::status>(HttpStatus(reason)), kHttp11);
+    Answer answer(static_cast<boost::beast::http::status>(HttpStatus(reason)),
+                  kHttp11);
     answer.keep_alive(false);
     answer.prepare_payload();
     co_await exchange.WriteAnswer(answer);
@@ -71,9 +70,8 @@
       answer.body() = PrometheusText(context_.metrics.Snapshot(now));
     } else if (const auto query = Dialect::ParseLookUp(target)) {
       context_.metrics.Count(CounterName::kLookUps);
-      const auto addresses =
-          context_.fleet.AddressesFor(query->region, query->failure_domain,
-                                      context_.leaving, now);
+      const auto addresses = context_.fleet.AddressesFor(
+          query->region, query->failure_domain, context_.leaving, now);
       answer.result(status::ok);
       answer.set(boost::beast::http::field::content_type, "application/json");
       answer.body() =
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -68,10 +68,9 @@
     return;
   const std::string_view text = datagram.substr(end + 1);
   const PeerAuthenticator authenticator(state_.fleet_secret());
-  const auto heartbeat =
-      authenticator.Verify("", text, datagram.substr(0, end))
-          ? ParseHeartbeat(text)
-          : std::nullopt;
+  const auto heartbeat = authenticator.Verify("", text, datagram.substr(0, end))
+                             ? ParseHeartbeat(text)
+                             : std::nullopt;
   if (!heartbeat) {
     context_.metrics.Count(CounterName::kPeerFailures);
     Log(LogLevel::kWarning, "heartbeat-refused",
@@ -129,8 +128,8 @@
     return;
   Heartbeat gift;
   for (const TokenAmount& amount : heartbeat.wanted) {
-    const std::uint32_t given = context_.limiter.TakeForPeer(
-        amount.workspace, amount.tokens, now);
+    const std::uint32_t given =
+        context_.limiter.TakeForPeer(amount.workspace, amount.tokens, now);
     if (given > 0)
       gift.given.push_back({amount.workspace, given});
   }
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -156,7 +156,10 @@
     state_.context().metrics.Count(CounterName::kTableFailures);
   }
 
-  void Take(StoreTable table, const TableFeed& feed, bool whole, TimePoint now) {
+  void Take(StoreTable table,
+            const TableFeed& feed,
+            bool whole,
+            TimePoint now) {
     state_.context().metrics.Count(CounterName::kTableCalls);
     if (whole)
       DropMissing(table, feed, now);
--- a/src/comfreyvane/host/control_handler.cc
+++ b/src/comfreyvane/host/control_handler.cc
@@ -5,8 +5,8 @@
 #include "comfreyvane/log/log.h"
 #include "comfreyvane/metrics/prometheus_text.h"
 #include "comfreyvane/net/clock.h"
-#include "comfreyvane/operate/bearer_token.h"
 #include "comfreyvane/net/peer_authenticator.h"
+#include "comfreyvane/operate/bearer_token.h"
 #include "comfreyvane/peer/peer_stamp.h"
 
 namespace comfreyvane {
--- a/src/comfreyvane/host/control_loop.h
+++ b/src/comfreyvane/host/control_loop.h
@@ -20,8 +20,8 @@
 #include "comfreyvane/host/steering_driver.h"
 #include "comfreyvane/net/caller_listener.h"
 #include "comfreyvane/net/http_platform.h"
-#include "comfreyvane/peer/notification_server.h"
 #include "comfreyvane/net/peer_authenticator.h"
+#include "comfreyvane/peer/notification_server.h"
 
 namespace comfreyvane {
 
--- a/src/comfreyvane/host/peer_directory.h
+++ b/src/comfreyvane/host/peer_directory.h
@@ -11,8 +11,8 @@
 
 #include "comfreyvane/member/member_view.h"
 #include "comfreyvane/net/async.h"
-#include "comfreyvane/net/timeout_sweeper.h"
 #include "comfreyvane/net/peer_authenticator.h"
+#include "comfreyvane/net/timeout_sweeper.h"
 #include "comfreyvane/peer/peer_channel.h"
 
 namespace comfreyvane {
--- a/src/comfreyvane/log/field.h
+++ b/src/comfreyvane/log/field.h
@@ -43,6 +43,7 @@
       : name_(name), value_(value) {}
   constexpr Field(FieldName name, const char* value)
       : Field(name, std::string_view(value)) {}
+  constexpr Field(FieldName name, Hex value) : name_(name), value_(value) {}
 
   /// A span of time, written in milliseconds with a fraction.
   constexpr Field(FieldName name, Duration value)
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -289,9 +289,9 @@
   [[nodiscard]] ReadAhead TakeReadAhead() {
     if constexpr (requires { stream_.next_layer(); }) {
       char byte = 0;
-      return Received(recv(socket().native_handle(), &byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT),
-                      ReadAhead::kLeft);
+      return Received(
+          recv(socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT),
+          ReadAhead::kLeft);
     } else {
       const std::size_t room =
           std::min(kReadBytes, buffer_.max_size() - buffer_.size());
