Let requests bound to other regions leave freely; ramp overflow from nothing

Mended: bound requests are no overflow; a queue passes over what cannot start; failures count from their call's start; calls give up connecting after 0.7 s; keep-alive on all kept connections.

--- a/src/comfreyvane/edge/admission_queue.h
+++ b/src/comfreyvane/edge/admission_queue.h
@@ -55,17 +55,25 @@
     --depth_;
   }
 
-  /// Takes waiting requests of a service in their order while they can start.
-  /// @param try_start called with each item; false ends the round.
+  /// Takes the waiting requests of a service that can start, in their order.
+  /// One that cannot, since it may use few servers, does not hold up others.
+  /// @param try_start called with each item; returns whether it starts.
   template <typename TryStart>
   void Drain(ServiceId service, TryStart try_start) {
     const auto found = lines_.find(service);
     if (found == lines_.end())
       return;
     auto& waiting = found->second.waiting;
-    while (!waiting.empty() && try_start(waiting.begin()->second.item)) {
-      waiting.erase(waiting.begin());
-      --depth_;
+    int failures = 0;
+    for (auto it = waiting.begin();
+         it != waiting.end() && failures < kMostFailures;) {
+      if (try_start(it->second.item)) {
+        it = waiting.erase(it);
+        --depth_;
+      } else {
+        ++it;
+        ++failures;
+      }
     }
   }
 
@@ -128,6 +136,8 @@
   }
 
  private:
+  /// Requests in a row that cannot start after which a round ends.
+  static constexpr int kMostFailures = 16;
   /// Gap between releases before there is a sample.
   static constexpr Duration kFirstGap = std::chrono::milliseconds(50);
   /// Longer gaps are pauses of the traffic.
--- a/src/comfreyvane/edge/backend_choice.h
+++ b/src/comfreyvane/edge/backend_choice.h
@@ -17,7 +17,8 @@
 struct BackendChoice {
   BackendServerId server;
   Distance distance = Distance::kSameFailureDomain;
-  bool warm = false;  ///< It is taken to have handled the object of late.
+  bool overflow = false;  ///< It left the region for want of room there.
+  bool warm = false;      ///< It is taken to have handled the object of late.
   /// Other objects that this host has sent there since the object, if known.
   std::optional<std::size_t> objects_since{};
   Duration expected{};  ///< Time until its answer, without the network.
--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -28,6 +28,11 @@
 /// Part of the expected time that a full server adds.
 constexpr double kLoadCost = 0.2;
 
+/// Times the expected time that a server costs which is not the object's home
+/// and does not have it warm: it forgets another object for it.
+constexpr double kColdElsewhereCost = 0.3;
+constexpr double kColdAbroadCost = 1.0;
+
 /// Times the expected time that a silent server adds.
 constexpr double kSuspectCost = 3.0;
 
@@ -146,9 +151,9 @@
   };
   Best near;
   Best far;
-  const Slot* const home = request.object == 0
-                               ? nullptr
-                               : HomeOf(request.object, found->second, now);
+  const bool bound_abroad = !MayRunIn(self_.region, request);
+  const Slot* const home =
+      request.object == 0 ? nullptr : HomeOf(request, found->second, now);
   for (const Slot* slot : found->second) {
     if (!Usable(*slot, request, now))
       continue;
@@ -167,18 +172,30 @@
       const std::uint64_t id = state.entry().id().value();
       cost += kRendezvousCostMs * Unit(HashPair(request.object, id));
     }
-    Best& best = slot->distance == Distance::kOtherRegion ? far : near;
+    const bool abroad = slot->distance == Distance::kOtherRegion;
+    if (!is_warm) {
+      cost +=
+          (abroad ? kColdAbroadCost : kColdElsewhereCost) * Milliseconds(work);
+    }
+    Best& best = abroad ? far : near;
     if (best.slot == nullptr || cost < best.cost)
       best = {slot, cost, is_warm, wait + work};
   }
-  const bool may_leave = far.slot != nullptr && spill_.MayLeave(now);
+  const bool may_leave =
+      far.slot != nullptr &&
+      (bound_abroad || far.slot == home || spill_.MayLeave(now));
   const bool leaves =
       near.slot == nullptr || far.cost < near.cost || spill_.ShouldLeave(now);
   const Best& best = may_leave && leaves ? far : near;
   if (best.slot == nullptr)
     return std::nullopt;
-  return BackendChoice{best.slot->state.entry().id(), best.slot->distance,
-                       best.warm, best.slot->state.ObjectsSince(request.object),
+  const bool overflow = best.slot->distance == Distance::kOtherRegion &&
+                        best.slot != home && !bound_abroad;
+  return BackendChoice{best.slot->state.entry().id(),
+                       best.slot->distance,
+                       overflow,
+                       best.warm,
+                       best.slot->state.ObjectsSince(request.object),
                        best.expected};
 }
 
@@ -195,9 +212,7 @@
     return false;
   if (state.IsCold(now) && !state.HasColdToken(slot.cold_rate, now))
     return false;
-  if (!request.regions.empty() &&
-      std::find(request.regions.begin(), request.regions.end(), slot.region) ==
-          request.regions.end())
+  if (!MayRunIn(slot.region, request))
     return false;
   return std::find(request.excluded.begin(), request.excluded.end(),
                    entry.id()) == request.excluded.end();
@@ -219,10 +234,14 @@
          !evacuated_.contains(state.entry().failure_domain);
 }
 
-const BackendPicker::Slot* BackendPicker::HomeOf(
-    std::uint64_t object,
-    const std::vector<Slot*>& slots,
-    TimePoint now) const {
+bool BackendPicker::MayRunIn(RegionId region, const PickRequest& request) {
+  return request.regions.empty() ||
+         std::find(request.regions.begin(), request.regions.end(), region) !=
+             request.regions.end();
+}
+
+bool BackendPicker::IsAbroad(std::uint64_t object,
+                             const std::vector<Slot*>& slots) const {
   std::unordered_set<RegionId> regions;
   double all = 0.0;
   double own = 0.0;
@@ -235,17 +254,26 @@
   }
   // A region with few servers has part of its objects at home elsewhere.
   const double fair =
-      all / static_cast<double>(std::max<std::size_t>(1, regions.size()));
-  const bool abroad =
-      own < kRegionShare * fair &&
-      Unit(HashPair(kAbroadSalt, object)) > own / (kRegionShare * fair);
+      kRegionShare * all /
+      static_cast<double>(std::max<std::size_t>(1, regions.size()));
+  return own < fair && Unit(HashPair(kAbroadSalt, object)) > own / fair;
+}
+
+const BackendPicker::Slot* BackendPicker::HomeOf(
+    const PickRequest& request,
+    const std::vector<Slot*>& slots,
+    TimePoint now) const {
+  const bool confined = !request.regions.empty();
+  const bool own_allowed = MayRunIn(self_.region, request);
+  const bool abroad = confined ? !own_allowed : IsAbroad(request.object, slots);
   const Slot* home = nullptr;
   std::uint64_t best = 0;
   for (const Slot* slot : slots) {
-    if ((slot->region == self_.region) == abroad || !MayBeHome(*slot, now))
+    if ((slot->region == self_.region) == abroad ||
+        !MayRunIn(slot->region, request) || !MayBeHome(*slot, now))
       continue;
     const std::uint64_t hash =
-        HashPair(slot->state.entry().id().value(), object);
+        HashPair(slot->state.entry().id().value(), request.object);
     if (home == nullptr || hash > best) {
       home = slot;
       best = hash;
@@ -271,8 +299,8 @@
   return cost;
 }
 
-bool BackendPicker::OnStarted(BackendServerId server, TimePoint now) {
-  const auto found = states_.find(server);
+bool BackendPicker::OnStarted(const BackendChoice& choice, TimePoint now) {
+  const auto found = states_.find(choice.server);
   if (found == states_.end())
     return false;
   Slot& slot = *found->second;
@@ -282,7 +310,8 @@
   if (slot.state.IsCold(now) && !slot.state.TakeColdToken(slot.cold_rate, now))
     return false;
   slot.state.OnStarted(now);
-  spill_.OnSent(slot.distance == Distance::kOtherRegion, now);
+  // Requests that belong abroad are a constant part.
+  spill_.OnSent(choice.overflow, now);
   return true;
 }
 
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -63,7 +63,7 @@
   /// Counts a request that is about to be sent.
   /// @return false if the server has left since, or is cold and at its limit:
   ///     the request must not be sent; it is not counted.
-  [[nodiscard]] bool OnStarted(BackendServerId server, TimePoint now);
+  [[nodiscard]] bool OnStarted(const BackendChoice& choice, TimePoint now);
 
   /// Ends a request that OnStarted has counted.
   void OnFinished(const BackendChoice& choice,
@@ -110,9 +110,14 @@
   [[nodiscard]] bool MayBeHome(const Slot& slot, TimePoint now) const;
   /// @return the server that all hosts of this region take for an object's
   ///     home, or null.
-  [[nodiscard]] const Slot* HomeOf(std::uint64_t object,
+  [[nodiscard]] const Slot* HomeOf(const PickRequest& request,
                                    const std::vector<Slot*>& slots,
                                    TimePoint now) const;
+  /// @return whether an object of this region is at home in another one.
+  [[nodiscard]] bool IsAbroad(std::uint64_t object,
+                              const std::vector<Slot*>& slots) const;
+  [[nodiscard]] static bool MayRunIn(RegionId region,
+                                     const PickRequest& request);
 
   Location self_;
   std::unordered_map<FailureDomainId, RegionId> regions_;
--- a/src/comfreyvane/edge/registry_tracker.cc
+++ b/src/comfreyvane/edge/registry_tracker.cc
@@ -5,9 +5,10 @@
 namespace comfreyvane {
 namespace {
 
-/// Time after the return of the store in which living servers list themselves
-/// again: the platform states about two seconds.
-constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
+/// Time after the last failed call in which living servers list themselves
+/// again: the platform states about two seconds after its return, and calls are
+/// repeated within half a second.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2500);
 
 }  // namespace
 
--- a/src/comfreyvane/edge/registry_tracker.h
+++ b/src/comfreyvane/edge/registry_tracker.h
@@ -3,6 +3,7 @@
 #ifndef COMFREYVANE_EDGE_REGISTRY_TRACKER_H_
 #define COMFREYVANE_EDGE_REGISTRY_TRACKER_H_
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,7 +18,10 @@
 class RegistryTracker {
  public:
   /// Notes that a call to the store failed.
-  void OnStoreFailure(TimePoint now) { last_failure_ = now; }
+  /// @param begun when the call began: the store was away then.
+  void OnStoreFailure(TimePoint begun) {
+    last_failure_ = std::max(last_failure_, begun);
+  }
 
   /// Notes an entry that was read.
   void OnListed(const std::string& key);
--- a/src/comfreyvane/edge/spill_ramp.cc
+++ b/src/comfreyvane/edge/spill_ramp.cc
@@ -13,14 +13,14 @@
 }  // namespace
 
 bool SpillRamp::MayLeave(TimePoint now) const {
-  if (!bounded_ || now < released_until_)
+  if (now < released_until_)
     return true;
   const double most = std::min(1.0, part_ + step_);
   return left_ + 1 <= most * std::max(sent_ + 1, kLeastSent);
 }
 
 bool SpillRamp::ShouldLeave(TimePoint now) const {
-  if (!bounded_ || now < released_until_)
+  if (now < released_until_)
     return false;
   const double least = std::max(0.0, part_ - step_);
   return left_ + 1 < least * (sent_ + 1);
@@ -28,10 +28,8 @@
 
 void SpillRamp::OnSent(bool left_region, TimePoint now) {
   if (now >= interval_end_) {
-    if (sent_ >= kLeastSent) {
+    if (sent_ >= kLeastSent)
       part_ = static_cast<double>(left_) / sent_;
-      bounded_ = true;
-    }
     sent_ = left_ = 0;
     interval_end_ = now + kInterval;
   }
--- a/src/comfreyvane/edge/spill_ramp.h
+++ b/src/comfreyvane/edge/spill_ramp.h
@@ -11,7 +11,7 @@
 
 /// Bounds how fast the part of requests that run outside this host's region
 /// changes: from one interval to the next it moves by at most one step, up or
-/// down. The first interval sets where it starts.
+/// down.
 class SpillRamp {
  public:
   /// @param step largest change of the part in one interval, 0 to 1.
@@ -33,8 +33,7 @@
 
  private:
   double step_;
-  double part_ = 0.0;     ///< Of the last interval.
-  bool bounded_ = false;  ///< An interval has ended.
+  double part_ = 0.0;  ///< Of the last interval.
   std::uint32_t sent_ = 0;
   std::uint32_t left_ = 0;
   TimePoint interval_end_{};
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -37,10 +37,9 @@
     std::function<void()> unwatch) {
   const TimePoint now = MonotonicNow();
   const ServiceId service = request.pick.service;
-  if (queue_.depth(service) == 0) {
-    if (const auto choice = TryTake(request.pick, now))
-      co_return *choice;
-  }
+  DrainQueue(service, now);
+  if (const auto choice = TryTake(request.pick, now))
+    co_return *choice;
   const TimePoint give_up = GiveUpAt(request);
   if (now + queue_.ExpectedWait(service, request.urgency) > give_up)
     co_return NoRoom(request);
@@ -54,7 +53,6 @@
                               Duration::zero()};
     waiter->wakeup.cancel();
   });
-  DrainQueue(service, now);
   if (!waiter->choice && !waiter->refusal)
     co_await waiter->wakeup.async_wait(kAwait);
   unwatch();
@@ -94,7 +92,7 @@
     const PickRequest& request,
     TimePoint now) {
   const auto choice = context_.backends.Pick(request, now);
-  if (!choice || !context_.backends.OnStarted(choice->server, now))
+  if (!choice || !context_.backends.OnStarted(*choice, now))
     return std::nullopt;
   return choice;
 }
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <list>
 #include <map>
 #include <string>
 #include <string_view>
@@ -90,9 +91,9 @@
   /// Pause after changes, so that those that follow come in one answer. Short
   /// against the bounds on leaving servers and on configuration, 2.5 s.
   static constexpr Duration kBatchPause = std::chrono::milliseconds(350);
-  /// Pause after a failed call; doubles to the second with each in a row.
+  /// Pause after a failed call; doubles with each in a row.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
-  static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
+  static constexpr Duration kLongestPause = std::chrono::milliseconds(400);
   /// Time between checks whether this host is listed.
   static constexpr Duration kListPause = std::chrono::milliseconds(1000);
   static constexpr std::string_view kSecretKey = "!secret";
@@ -113,6 +114,7 @@
     bool whole = true;
     Duration pause = kFirstPause;
     while (!stopped_) {
+      const TimePoint begun = MonotonicNow();
       TableFeed feed;
       if (whole)
         feed = co_await store_.Read(table);
@@ -126,8 +128,8 @@
         continue;
       }
       if (feed.status != TableStatus::kDone) {
-        OnFailure(feed.status, now);
-        co_await Pause(Jittered(pause));
+        OnFailure(feed.status, begun, now);
+        co_await PauseForRetry(Jittered(pause));
         pause = std::min(2 * pause, kLongestPause);
         continue;
       }
@@ -146,13 +148,28 @@
     }
   }
 
-  void OnSuccess(TimePoint now) { watch_.OnSuccess(now); }
+  /// Waits before a repeat, or until another call succeeds.
+  [[nodiscard]] asio::awaitable<void> PauseForRetry(Duration span) {
+    asio::steady_timer timer(io_);
+    timer.expires_after(span);
+    const auto place = retries_.insert(retries_.end(), &timer);
+    co_await timer.async_wait(kAwait);
+    retries_.erase(place);
+  }
+
+  void OnSuccess(TimePoint now) {
+    if (watch_.failing()) {
+      for (asio::steady_timer* timer : retries_)
+        timer->cancel();
+    }
+    watch_.OnSuccess(now);
+  }
 
-  void OnFailure(TableStatus status, TimePoint now) {
+  void OnFailure(TableStatus status, TimePoint begun, TimePoint now) {
     static constexpr std::string_view kReasons[] = {
         "done", "conflict", "unavailable", "no-answer", "malformed"};
     watch_.OnFailure(kReasons[static_cast<std::size_t>(status)], now);
-    backends_.OnStoreFailure(now);
+    backends_.OnStoreFailure(begun);
     state_.context().metrics.Count(CounterName::kTableFailures);
   }
 
@@ -286,6 +303,7 @@
 
   [[nodiscard]] asio::awaitable<void> CommitHosts(
       const TableTransaction& change) {
+    const TimePoint begun = MonotonicNow();
     const TableOutcome outcome =
         co_await store_.Commit(StoreTable::kHosts, change);
     const TimePoint now = MonotonicNow();
@@ -299,7 +317,7 @@
       for (const TableRow& row : outcome.conflicts)
         Apply(StoreTable::kHosts, row, now);
     } else {
-      OnFailure(outcome.status, now);
+      OnFailure(outcome.status, begun, now);
     }
   }
 
@@ -310,6 +328,7 @@
   RegistryTracker backends_;
   DependencyWatch watch_{"store"};
   std::map<StoreTable, std::map<std::string, TableRow>> rows_;
+  std::list<asio::steady_timer*> retries_;  ///< That wait for a repeat.
   bool hosts_read_ = false;
   bool stopped_ = false;
 };
--- a/src/comfreyvane/net/backend_connection.cc
+++ b/src/comfreyvane/net/backend_connection.cc
@@ -1,11 +1,11 @@
 #include "comfreyvane/net/backend_connection.h"
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
 #include <limits>
 
+#include "comfreyvane/net/liveness_options.h"
 #include "comfreyvane/net/message_reader.h"
 
 namespace comfreyvane {
@@ -16,17 +16,6 @@
 constexpr std::size_t kBufferBytes = 64 * 1024;
 constexpr std::uint32_t kAnswerHeaderBytes = 32 * 1024;
 
-/// Time after which the kernel gives up on bytes that were not acknowledged:
-/// the path to the other end is gone.
-constexpr int kUnacknowledgedMs = 2000;
-
-void SetOptions(tcp::socket& socket) {
-  error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
-  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-             &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
-}
-
 }  // namespace
 
 BackendConnection::BackendConnection(asio::io_context& io,
@@ -45,7 +34,7 @@
     co_return watchdog_.fired() ? ExchangeFailure::kTimeout
                                 : ExchangeFailure::kClosed;
   }
-  SetOptions(socket_);
+  SetLivenessOptions(socket_);
   co_return ExchangeFailure::kNone;
 }
 
--- a/src/comfreyvane/net/http_client.cc
+++ b/src/comfreyvane/net/http_client.cc
@@ -2,12 +2,15 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <utility>
 
+#include "comfreyvane/net/clock.h"
+#include "comfreyvane/net/liveness_options.h"
 #include "comfreyvane/net/timeout_sweeper.h"
 
 namespace comfreyvane {
@@ -19,6 +22,10 @@
 constexpr std::size_t kIdleConnections = 4;
 constexpr unsigned kHttp11 = 11;
 
+/// Time for a connection: several round trips between regions, and less than
+/// the second after which a lost opening packet is sent again.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
+
 http::request<http::string_body> ToRequest(HttpCall call,
                                            const tcp::endpoint& server) {
   http::request<http::string_body> request(call.method, call.target, kHttp11);
@@ -71,13 +78,13 @@
 asio::awaitable<HttpClient::ConnectionPtr> HttpClient::Open(
     TimePoint deadline) {
   auto connection = std::make_unique<Connection>(io_, sweeper_);
-  connection->watchdog.Arm(deadline);
+  connection->watchdog.Arm(
+      std::min(deadline, MonotonicNow() + kConnectTimeout));
   const auto [error] =
       co_await connection->socket.async_connect(server_, kAwait);
   if (error)
     co_return nullptr;
-  error_code ignored;
-  connection->socket.set_option(tcp::no_delay(true), ignored);
+  SetLivenessOptions(connection->socket);
   co_return connection;
 }
 
