--- a/apps/gateway_main.cc
+++ b/apps/gateway_main.cc
@@ -41,7 +41,9 @@
                     {"region", settings.region},
                     {"incarnation", incarnation}});
   process.Run();
-  return EXIT_SUCCESS;
+  std::cout.flush();
+  // Everything is answered. The logging library's threads would be waited for.
+  std::_Exit(EXIT_SUCCESS);
 }
 
 int LoadAndServe(const std::string& path, bool only_check) {
