--- a/src/comfreyvane/edge/workspace_limiter.cc
+++ b/src/comfreyvane/edge/workspace_limiter.cc
@@ -6,12 +6,10 @@
 namespace comfreyvane {
 namespace {
 
-/// Seconds of its rate that a new bucket holds: half of what the limit's
-/// tolerance of a tenth leaves over a window of five seconds.
-constexpr double kFirstSeconds = 0.25;
-
-/// Part of its burst that a new bucket holds, from the same tolerance.
-constexpr double kFirstBurstPart = 0.1;
+/// Parts of the tolerance; see the class.
+constexpr double kRatePart = 0.5;
+constexpr double kCapacityPart = 0.6;
+constexpr double kFirstPart = 0.4;
 
 /// Least capacity of a bucket, so that a small share still lets one request
 /// through at a time.
@@ -40,8 +38,7 @@
       Refill(found->second, now);
       bucket.tokens = std::min(found->second.tokens, Capacity(bucket));
     } else {
-      bucket.tokens = share_ * (kFirstSeconds * bucket.rate +
-                                kFirstBurstPart * bucket.burst);
+      bucket.tokens = share_ * FirstTokens(bucket);
     }
     next.emplace(id, bucket);
   }
@@ -54,10 +51,8 @@
   const double grown = share - share_;
   share_ = share;
   for (auto& [id, bucket] : buckets_) {
-    if (grown > 0) {
-      bucket.tokens += grown * (kFirstSeconds * bucket.rate +
-                                kFirstBurstPart * bucket.burst);
-    }
+    if (grown > 0)
+      bucket.tokens += grown * FirstTokens(bucket);
     bucket.tokens = std::min(bucket.tokens, Capacity(bucket));
   }
 }
@@ -120,7 +115,7 @@
   const double missing = 1.0 - TokensAt(bucket, now);
   if (missing <= 0)
     return Duration::zero();
-  const double rate = bucket.rate * share_;
+  const double rate = RateHere(bucket);
   if (rate <= 0)
     return kLongestWait;
   const std::chrono::duration<double> wait(missing / rate);
@@ -128,7 +123,18 @@
 }
 
 double WorkspaceLimiter::Capacity(const Bucket& bucket) const {
-  return std::max(kLeastCapacity, bucket.burst * share_);
+  const double all = bucket.burst + kCapacityPart * tolerance_.slack;
+  return std::max(kLeastCapacity, share_ * all);
+}
+
+double WorkspaceLimiter::FirstTokens(const Bucket& bucket) const {
+  return tolerance_.overage * bucket.burst +
+         kFirstPart * (tolerance_.slack + tolerance_.overage * bucket.rate *
+                                              Seconds(tolerance_.window));
+}
+
+double WorkspaceLimiter::RateHere(const Bucket& bucket) const {
+  return share_ * bucket.rate * (1.0 + kRatePart * tolerance_.overage);
 }
 
 double WorkspaceLimiter::TokensAt(const Bucket& bucket, TimePoint now) const {
--- a/src/comfreyvane/edge/workspace_limiter.h
+++ b/src/comfreyvane/edge/workspace_limiter.h
@@ -14,12 +14,30 @@
 
 namespace comfreyvane {
 
+/// What all hosts together may run beyond a limit, by the platform's bounds: in
+/// any window, (rate * window + burst) * (1 + overage) + slack requests.
+struct LimitTolerance {
+  double overage = 0.1;
+  double slack = 20.0;  ///< Requests.
+  Duration window = std::chrono::seconds(5);
+
+  friend bool operator==(const LimitTolerance&,
+                         const LimitTolerance&) = default;
+};
+
 /// Token buckets by workspace that hold this host's share of each limit. The
 /// shares of all hosts sum to at most one, so the sum over hosts keeps the
 /// limit without a message on a request's way. Tokens can move between hosts:
 /// the giver takes them out before it sends them.
+///
+/// The tolerance is spent so that the bound holds also when all hosts restart
+/// in a window: half of the overage on the rate, part of the slack on the
+/// capacity of buckets, the rest on what new buckets hold.
 class WorkspaceLimiter {
  public:
+  explicit WorkspaceLimiter(const LimitTolerance& tolerance)
+      : tolerance_(tolerance) {}
+
   /// Puts limits in force. A bucket that is new holds little at first, since an
   /// earlier run of this host may have spent its share a moment ago; one whose
   /// limit fell gives up what is over it.
@@ -61,9 +79,14 @@
   };
 
   [[nodiscard]] double Capacity(const Bucket& bucket) const;
+  /// @return tokens that a new bucket holds for all hosts together.
+  [[nodiscard]] double FirstTokens(const Bucket& bucket) const;
+  /// @return tokens that this host's bucket gets in a second.
+  [[nodiscard]] double RateHere(const Bucket& bucket) const;
   [[nodiscard]] double TokensAt(const Bucket& bucket, TimePoint now) const;
   void Refill(Bucket& bucket, TimePoint now);
 
+  LimitTolerance tolerance_;
   double share_ = 0.0;
   std::unordered_map<WorkspaceId, Bucket> buckets_;
 };
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -27,7 +27,7 @@
   std::shared_ptr<const RouteTable> table;  ///< Null before the first one.
   BackendPicker backends;
   FleetView fleet;
-  WorkspaceLimiter limiter{};
+  WorkspaceLimiter limiter;
   PoisonGuard poison{};
   std::unordered_map<std::string, ShareSplitter> splitters{};  ///< By route.
   std::unordered_map<ServiceId, RetryBudget> retries{};
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -1,6 +1,7 @@
 #include "comfreyvane/gateway/gateway_handler.h"
 
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <cstdio>
 
@@ -27,6 +28,11 @@
 /// Part of the expected time that must be left for another attempt.
 constexpr double kLeastTimePart = 0.5;
 
+/// Part of the objective that a request may wait for a token of another host:
+/// a refusal so early costs its caller little.
+constexpr double kTokenWaitPart = 0.12;
+constexpr Duration kTokenPoll = std::chrono::milliseconds(8);
+
 /// Wait before a patient caller may come back where nothing better is known.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
 
@@ -148,6 +154,28 @@
   request.fingerprint = HashPair(request.workspace_id().value(), content);
 }
 
+asio::awaitable<bool> GatewayHandler::TakeToken(const GatewayRequest& request) {
+  const WorkspaceId workspace = request.workspace_id();
+  TimePoint now = MonotonicNow();
+  if (context_.limiter.TryTake(workspace, now))
+    co_return true;
+  if (!peers_.WantTokens(workspace, now))
+    co_return false;
+  const TimePoint give_up =
+      now + Duration(static_cast<Duration::rep>(
+                kTokenWaitPart *
+                static_cast<double>(request.route->objective.count())));
+  asio::steady_timer timer(io_);
+  while (now < give_up) {
+    timer.expires_after(kTokenPoll);
+    co_await timer.async_wait(kAwait);
+    now = MonotonicNow();
+    if (context_.limiter.TryTake(workspace, now))
+      co_return true;
+  }
+  co_return false;
+}
+
 bool GatewayHandler::HoldBody(std::size_t bytes) {
   const std::size_t most = std::size_t{context_.settings.memory_mb} *
                            kBytesPerMegabyte / kBodyMemoryPart;
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -28,10 +28,12 @@
   using Answer = boost::beast::http::response<boost::beast::http::string_body>;
 
   GatewayHandler(GatewayContext& context,
+                 asio::io_context& io,
                  GatewayDispatcher& dispatcher,
                  BackendCall& backends,
                  PeerLink& peers)
       : context_(context),
+        io_(io),
         dispatcher_(dispatcher),
         backends_(backends),
         peers_(peers) {}
@@ -79,6 +81,9 @@
                GatewayRequest& request);
   void SetFingerprint(const boost::beast::http::request_header<>& head,
                       GatewayRequest& request) const;
+  /// Takes a token of the workspace's limit; waits a moment for one from other
+  /// hosts.
+  [[nodiscard]] asio::awaitable<bool> TakeToken(const GatewayRequest& request);
   [[nodiscard]] bool HoldBody(std::size_t bytes);
   /// Decides whether another server is tried, and counts it if so.
   [[nodiscard]] bool TryAgain(const GatewayRequest& request,
@@ -105,6 +110,7 @@
                                        bool keep_alive);
 
   GatewayContext& context_;
+  asio::io_context& io_;
   GatewayDispatcher& dispatcher_;
   BackendCall& backends_;
   PeerLink& peers_;
@@ -161,10 +167,10 @@
     co_return Refusal{RefusalReason::kCrashContained, RunState::kNotRun,
                       Duration::zero()};
   }
-  if (!context_.limiter.TryTake(request.workspace_id(), now)) {
-    peers_.WantTokens(request.workspace_id(), now);
-    co_return Refusal{RefusalReason::kRateExceeded, RunState::kNotRun,
-                      context_.limiter.UntilToken(request.workspace_id(), now)};
+  if (!co_await TakeToken(request)) {
+    co_return Refusal{
+        RefusalReason::kRateExceeded, RunState::kNotRun,
+        context_.limiter.UntilToken(request.workspace_id(), MonotonicNow())};
   }
   SetPick(exchange.head(), request);
   auto refusal = co_await RunAttempts(exchange, request);
--- a/src/comfreyvane/gateway/gateway_settings.h
+++ b/src/comfreyvane/gateway/gateway_settings.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/workspace_limiter.h"
 #include "comfreyvane/log/log_level.h"
 #include "comfreyvane/settings/endpoint.h"
 
@@ -31,6 +32,7 @@
   LogLevel log_level = LogLevel::kInfo;           ///< log.level
   Duration grace = std::chrono::seconds(6);       ///< stop.grace_ms
   Duration lookup_ttl = std::chrono::seconds(2);  ///< lookups.ttl_ms
+  LimitTolerance limits;                          ///< limits.*
   double retry_ratio = 0.2;                       ///< retries.ratio
   double retry_slack = 50.0;                      ///< retries.slack
 
--- a/src/comfreyvane/gateway/load_gateway_settings.cc
+++ b/src/comfreyvane/gateway/load_gateway_settings.cc
@@ -82,6 +82,22 @@
       {"log.level", false, Into(ParseLevel, &S::log_level)},
       {"stop.grace_ms", false, Into(ParseTimeout, &S::grace)},
       {"lookups.ttl_ms", false, Into(ParseTimeout, &S::lookup_ttl)},
+      {"limits.overage", false,
+       [](const std::string& text, S& settings) {
+         return ParseFraction(text, settings.limits.overage);
+       }},
+      {"limits.slack", false,
+       [](const std::string& text, S& settings) {
+         return ParseFraction(text, settings.limits.slack);
+       }},
+      {"limits.window_s", false,
+       [](const std::string& text, S& settings) {
+         double seconds = 0.0;
+         const ParseFault fault = ParseFraction(text, seconds);
+         settings.limits.window = std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(seconds));
+         return fault;
+       }},
       {"retries.ratio", false, Into(ParseFraction, &S::retry_ratio)},
       {"retries.slack", false, Into(ParseFraction, &S::retry_slack)},
   };
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -15,9 +15,15 @@
 /// host counts as gone.
 constexpr Duration kPeriod = std::chrono::milliseconds(500);
 
-/// Time for which a limit that was short is asked for.
+/// Time for which a limit that was short is asked for with each heartbeat.
 constexpr Duration kWantMemory = std::chrono::seconds(1);
 
+/// Least time between two questions for tokens of one limit.
+constexpr Duration kAskInterval = std::chrono::milliseconds(200);
+
+/// Hosts of other regions that are asked at once, beside those of the region.
+constexpr std::size_t kAskedAbroad = 2;
+
 /// Tokens that are asked for at a time.
 constexpr std::uint32_t kWantedTokens = 8;
 
@@ -95,8 +101,10 @@
   for (const SuspectReport& suspect : heartbeat.suspects)
     context_.poison.OnPeerReport(suspect.fingerprint, suspect.count,
                                  host.value(), now);
-  for (const TokenAmount& amount : heartbeat.given)
+  for (const TokenAmount& amount : heartbeat.given) {
     context_.limiter.Receive(amount.workspace, amount.tokens, now);
+    wanted_[amount.workspace].received = now;
+  }
   GiveTokens(heartbeat, now);
   const std::uint64_t own = context_.table ? context_.table->version() : 0;
   if (heartbeat.configuration > own && on_newer_peer_) {
@@ -144,8 +152,29 @@
   }
 }
 
-void PeerLink::WantTokens(WorkspaceId workspace, TimePoint now) {
-  wanted_[workspace] = now;
+bool PeerLink::WantTokens(WorkspaceId workspace, TimePoint now) {
+  Want& want = wanted_[workspace];
+  if (now - want.asked < kAskInterval)
+    return want.received >= want.asked;
+  const bool gave = want.asked == TimePoint{} || want.received >= want.asked ||
+                    now - want.asked > kWantMemory;
+  want.asked = now;
+  AskNearPeers(workspace, now);
+  return gave;
+}
+
+void PeerLink::AskNearPeers(WorkspaceId workspace, TimePoint now) {
+  if (state_.fleet_secret().empty())
+    return;
+  Heartbeat heartbeat = Compose(now);
+  heartbeat.wanted.push_back({workspace, kWantedTokens});
+  const std::vector<FleetHost> peers = context_.fleet.Peers();
+  std::size_t abroad = 0;
+  for (std::size_t i = 0; i < peers.size(); ++i) {
+    const FleetHost& peer = peers[(sequence_ + i) % peers.size()];
+    if (peer.region == context_.settings.region || abroad++ < kAskedAbroad)
+      SendTo(peer, heartbeat);
+  }
 }
 
 void PeerLink::OnTick(TimePoint now) {
@@ -158,10 +187,10 @@
   if (state_.fleet_secret().empty())
     return;
   std::erase_if(wanted_, [now](const auto& row) {
-    return now - row.second > kWantMemory;
+    return now - row.second.asked > kWantMemory;
   });
   Heartbeat heartbeat = Compose(now);
-  for (const auto& [workspace, noted] : wanted_)
+  for (const auto& [workspace, want] : wanted_)
     heartbeat.wanted.push_back({workspace, kWantedTokens});
   for (const FleetHost& host : context_.fleet.Peers())
     SendTo(host, heartbeat);
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -38,8 +38,9 @@
   /// Sends heartbeats at once.
   void SendNow(TimePoint now);
 
-  /// Notes a limit that this host is short of.
-  void WantTokens(WorkspaceId workspace, TimePoint now);
+  /// Asks other hosts for tokens of a limit that this host is short of.
+  /// @return whether some may come shortly: not if they gave none a moment ago.
+  [[nodiscard]] bool WantTokens(WorkspaceId workspace, TimePoint now);
 
   /// Called with a host whose configuration is newer than the one here.
   void OnNewerPeer(std::function<void(const FleetHost&)> listener) {
@@ -76,7 +77,13 @@
   std::uint64_t sequence_ = 0;
   TimePoint next_beat_{};
   std::unordered_map<HostId, Peer> peers_;
-  std::map<WorkspaceId, TimePoint> wanted_;
+  struct Want {
+    TimePoint asked{};
+    TimePoint received{};
+  };
+  void AskNearPeers(WorkspaceId workspace, TimePoint now);
+
+  std::map<WorkspaceId, Want> wanted_;
   std::function<void(const FleetHost&)> on_newer_peer_;
 };
 
--- a/tests/comfreyvane/edge/workspace_limiter_test.cc
+++ b/tests/comfreyvane/edge/workspace_limiter_test.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+/// Without tolerance.
+constexpr LimitTolerance kExact{0.0, 0.0, seconds(5)};
 const WorkspaceId kKandy = WorkspaceId::Of("kandy");
 
 EdgeWorkspace Limited(double rate, double burst) {
@@ -38,7 +40,7 @@
 }  // namespace
 
 Test(workspace_limiter, has_no_limit_without_a_rate) {
-  WorkspaceLimiter limiter;
+  WorkspaceLimiter limiter(kExact);
   limiter.SetShare(0.5, kStart);
   limiter.Configure({Limited(0, 0)}, kStart);
   for (int i = 0; i < 1000; ++i)
@@ -47,7 +49,7 @@
 }
 
 Test(workspace_limiter, fills_up_to_its_share_of_the_burst) {
-  WorkspaceLimiter limiter;
+  WorkspaceLimiter limiter(kExact);
   limiter.SetShare(0.25, kStart);
   limiter.Configure({Limited(40, 80)}, kStart);
   cr_expect_eq(TakeAll(limiter, kStart + seconds(60)), 20);
@@ -55,7 +57,7 @@
 }
 
 Test(workspace_limiter, a_lowered_limit_takes_tokens_back) {
-  WorkspaceLimiter limiter;
+  WorkspaceLimiter limiter(kExact);
   limiter.SetShare(1.0, kStart);
   limiter.Configure({Limited(100, 100)}, kStart);
   limiter.Configure({Limited(10, 10)}, kStart + seconds(60));
@@ -63,7 +65,7 @@
 }
 
 Test(workspace_limiter, returns_the_token_of_what_has_not_run) {
-  WorkspaceLimiter limiter;
+  WorkspaceLimiter limiter(kExact);
   limiter.SetShare(1.0, kStart);
   limiter.Configure({Limited(10, 10)}, kStart);
   const TimePoint later = kStart + seconds(60);
@@ -73,8 +75,8 @@
 }
 
 Test(workspace_limiter, gives_tokens_only_by_taking_them_out) {
-  WorkspaceLimiter giver;
-  WorkspaceLimiter taker;
+  WorkspaceLimiter giver(kExact);
+  WorkspaceLimiter taker(kExact);
   for (WorkspaceLimiter* limiter : {&giver, &taker}) {
     limiter->SetShare(0.5, kStart);
     limiter->Configure({Limited(40, 80)}, kStart);
@@ -95,9 +97,9 @@
   constexpr double kBurst = 60;
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     RandomSource random(seed);
-    std::vector<WorkspaceLimiter> hosts(kHosts);
+    std::vector<WorkspaceLimiter> hosts(kHosts, WorkspaceLimiter({}));
     const auto start = [](WorkspaceLimiter& host, TimePoint now) {
-      host = WorkspaceLimiter();
+      host = WorkspaceLimiter({});
       host.SetShare(1.0 / kHosts, now);
       host.Configure({Limited(kRate, kBurst)}, now);
     };
