--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -16,10 +16,17 @@
 /// Time for which failures of servers in the region lift that bound.
 constexpr Duration kSpillRelease = std::chrono::seconds(4);
 
-/// What a server farther away costs beyond its delay, as time: the price of
-/// traffic between failure domains and between regions.
-constexpr double kSameRegionCostMs = 25.0;
-constexpr double kOtherRegionCostMs = 120.0;
+/// What the way to a server costs, as time: its delay, and the price of its
+/// traffic for each kilobyte of an answer against that of a late answer.
+constexpr double kSameRegionMs = 5.0;
+constexpr double kSameRegionMsPerKb = 8.0;
+constexpr double kOtherRegionMs = 45.0;
+constexpr double kOtherRegionMsPerKb = 25.0;
+
+/// Size of answers before there is a sample, and gain of their average.
+constexpr double kFirstAnswerKb = 2.0;
+constexpr double kAnswerGain = 0.05;
+constexpr double kBytesPerKb = 1024.0;
 
 /// Weight of the order by rendezvous hashing among servers that are alike, so
 /// that all hosts overflow to the same ones, milliseconds.
@@ -167,7 +174,7 @@
     const Duration wait = Wait(*slot, now);
     if (wait > Duration::zero() && now + wait + work > request.deadline)
       continue;
-    double cost = Cost(*slot, wait + work, now);
+    double cost = Cost(*slot, wait + work, now) + DistanceCost(*slot, request);
     if (request.object != 0) {
       const std::uint64_t id = state.entry().id().value();
       cost += kRendezvousCostMs * Unit(HashPair(request.object, id));
@@ -282,16 +289,28 @@
   return home;
 }
 
+double BackendPicker::DistanceCost(const Slot& slot,
+                                   const PickRequest& request) const {
+  const auto found = answer_kb_.find(request.kind);
+  const double kilobytes =
+      found == answer_kb_.end() ? kFirstAnswerKb : found->second;
+  switch (slot.distance) {
+    case Distance::kSameFailureDomain:
+      return 0.0;
+    case Distance::kSameRegion:
+      return kSameRegionMs + kSameRegionMsPerKb * kilobytes;
+    case Distance::kOtherRegion:
+      return kOtherRegionMs + kOtherRegionMsPerKb * kilobytes;
+  }
+  return 0.0;
+}
+
 double BackendPicker::Cost(const Slot& slot, Duration expected, TimePoint now) {
   const BackendState& state = slot.state;
   const double time = Milliseconds(expected);
   const double load = std::min(1.0, (state.own() + state.Others(now)) /
                                         std::max(1U, state.entry().slots));
   double cost = time * (1.0 + kLoadCost * load * load);
-  if (slot.distance == Distance::kSameRegion)
-    cost += kSameRegionCostMs;
-  else if (slot.distance == Distance::kOtherRegion)
-    cost += kOtherRegionCostMs;
   if (state.IsSuspect(expected, now))
     cost += kSuspectCost * time;
   if (!state.used() && slot.distance == Distance::kSameFailureDomain)
@@ -319,6 +338,7 @@
                                const PickRequest& request,
                                RequestOutcome outcome,
                                Duration latency,
+                               std::size_t answer_bytes,
                                TimePoint now) {
   const auto found = states_.find(choice.server);
   if (found == states_.end())
@@ -327,6 +347,10 @@
   const Duration expected =
       latencies_.Expected(request.kind, choice.warm, request.objective);
   if (outcome == RequestOutcome::kOk) {
+    const double kilobytes = static_cast<double>(answer_bytes) / kBytesPerKb;
+    double& average =
+        answer_kb_.try_emplace(request.kind, kilobytes).first->second;
+    average += kAnswerGain * (kilobytes - average);
     const Duration ordinary(static_cast<Duration::rep>(
         static_cast<double>(latency.count()) / state.slowness()));
     const Duration warm =
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -66,10 +66,12 @@
   [[nodiscard]] bool OnStarted(const BackendChoice& choice, TimePoint now);
 
   /// Ends a request that OnStarted has counted.
+  /// @param answer_bytes of the body, if there was an answer.
   void OnFinished(const BackendChoice& choice,
                   const PickRequest& request,
                   RequestOutcome outcome,
                   Duration latency,
+                  std::size_t answer_bytes,
                   TimePoint now);
 
   void OnLoad(BackendServerId server, const LoadReport& report, TimePoint now);
@@ -102,7 +104,12 @@
                             TimePoint now) const;
   /// @return the time that a request would wait for a slot.
   [[nodiscard]] static Duration Wait(const Slot& slot, TimePoint now);
+  /// @return what the way to a server costs, as milliseconds.
+  [[nodiscard]] double DistanceCost(const Slot& slot,
+                                    const PickRequest& request) const;
   /// @param expected time until the answer.
+  /// @return what a request at the server costs, as milliseconds, without the
+  ///     way there.
   [[nodiscard]] static double Cost(const Slot& slot,
                                    Duration expected,
                                    TimePoint now);
@@ -126,6 +133,8 @@
   std::unordered_set<FailureDomainId> evacuated_;
   LatencyModel latencies_;
   WarmthModel warmth_;
+  /// Average size of answers by kind of request, kilobytes.
+  std::unordered_map<std::uint64_t, double> answer_kb_;
   SpillRamp spill_;
 };
 
--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -32,6 +32,9 @@
 FleetView::FleetView(FleetHost self) : self_(std::move(self)) {}
 
 void FleetView::OnListed(const std::vector<FleetHost>& hosts, TimePoint now) {
+  // Hosts of the first list are known to the others already.
+  const TimePoint listed = read_ ? now : now - kShareDelay;
+  read_ = true;
   std::map<HostId, Member> next;
   for (const FleetHost& host : hosts) {
     const auto found = hosts_.find(host.id());
@@ -40,7 +43,8 @@
       member.host = host;
       next.emplace(host.id(), std::move(member));
     } else {
-      next.emplace(host.id(), Member{.host = host, .listed = now});
+      next.emplace(host.id(),
+                   Member{.host = host, .first_seen = now, .listed = listed});
     }
   }
   hosts_ = std::move(next);
@@ -67,7 +71,7 @@
   if (member.leaving)
     return false;
   if (member.heard == TimePoint{})
-    return now - member.listed < kFirstHeard;
+    return now - member.first_seen < kFirstHeard;
   return now - member.heard < kSilence;
 }
 
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -56,8 +56,9 @@
 
  private:
   struct Member {
-    FleetHost host;
-    TimePoint listed{};
+    FleetHost host{};
+    TimePoint first_seen{};  ///< By this host.
+    TimePoint listed{};      ///< No later than this.
     TimePoint heard{};
     bool leaving = false;
   };
@@ -65,6 +66,7 @@
   [[nodiscard]] static bool IsServing(const Member& member, TimePoint now);
 
   FleetHost self_;
+  bool read_ = false;
   std::map<HostId, Member> hosts_;
 };
 
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -69,8 +69,10 @@
                                 const BackendChoice& choice,
                                 RequestOutcome outcome,
                                 Duration latency,
+                                std::size_t answer_bytes,
                                 TimePoint now) {
-  context_.backends.OnFinished(choice, request.pick, outcome, latency, now);
+  context_.backends.OnFinished(choice, request.pick, outcome, latency,
+                               answer_bytes, now);
   queue_.OnReleased(request.pick.service, now);
   DrainQueue(request.pick.service, now);
 }
--- a/src/comfreyvane/gateway/gateway_dispatcher.h
+++ b/src/comfreyvane/gateway/gateway_dispatcher.h
@@ -39,6 +39,7 @@
                const BackendChoice& choice,
                RequestOutcome outcome,
                Duration latency,
+               std::size_t answer_bytes,
                TimePoint now);
 
   /// Takes in the load that a server reports.
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -234,7 +234,8 @@
                                                choice.server, watch, unwatch);
     const TimePoint ended = MonotonicNow();
     NoteResult(request, choice, result, ended - begun, ended);
-    dispatcher_.Release(request, choice, result.outcome, ended - begun, ended);
+    dispatcher_.Release(request, choice, result.outcome, ended - begun,
+                        result.body.size(), ended);
     if (result.caller_gone)
       co_return Refusal{RefusalReason::kCallerGone, result.run_state, {}};
     if (result.outcome == RequestOutcome::kConnectFailed)
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -126,6 +126,7 @@
       running[use.server] += use.running;
   }
   std::vector<BackendUse> all;
+  all.reserve(running.size());
   for (const auto& [server, count] : running)
     all.push_back({server, count});
   context_.backends.OnPeerUse(all, now);
--- a/tests/comfreyvane/edge/fleet_view_test.cc
+++ b/tests/comfreyvane/edge/fleet_view_test.cc
@@ -81,6 +81,7 @@
   for (const FleetHost& self : kHosts) {
     FleetView view(self);
     cr_expect_eq(view.Share(kStart), 0.0);
+    view.OnListed({}, kStart);
     view.OnListed(kHosts, kStart);
     cr_expect(view.Share(kStart) < 0.25, "the others may not know it yet");
     sum += view.Share(kStart + seconds(10));
@@ -98,3 +99,9 @@
   }
   cr_expect_float_eq(sum, 1.0, 1e-9);
 }
+
+Test(fleet_view, a_host_that_returns_has_its_share_at_once) {
+  FleetView view(kHosts[0]);
+  view.OnListed(kHosts, kStart);
+  cr_expect_float_eq(view.Share(kStart), 0.25, 1e-9);
+}
