Test the gateway between stand-ins; bound its log and never wait for its reader

Log lines are held up to 256 KiB and written without blocking; attempts and refusals have a budget each, and what is suppressed is counted and logged.

--- a/apps/gateway_main.cc
+++ b/apps/gateway_main.cc
@@ -1,15 +1,19 @@
 /// @file
 /// The gateway on an entry host.
+#include <unistd.h>
+
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <ostream>
 #include <random>
 #include <string>
 
 #include "comfreyvane/gateway/gateway_process.h"
 #include "comfreyvane/gateway/load_gateway_settings.h"
+#include "comfreyvane/log/bounded_output.h"
 #include "comfreyvane/log/log.h"
 #include "comfreyvane/log/log_session.h"
 #include "comfreyvane/settings/settings_errors.h"
@@ -24,6 +28,9 @@
 constexpr int kBadSettings = 2;
 constexpr int kCannotServe = 3;
 
+/// Log lines that are held for a slow reader.
+constexpr std::size_t kLogBytes = 256 * 1024;
+
 std::uint64_t NewIncarnation() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -31,17 +38,18 @@
 
 int Serve(const comfreyvane::GatewaySettings& settings,
           const std::string& path) {
-  const comfreyvane::LogSession log(settings.log_level, std::cout);
+  comfreyvane::BoundedOutput output(STDOUT_FILENO, kLogBytes);
+  std::ostream lines(&output);
+  const comfreyvane::LogSession log(settings.log_level, lines);
   const std::uint64_t incarnation = NewIncarnation();
   comfreyvane::GatewayProcess<comfreyvane::platform::GatewayPlatform> process(
-      settings, path, incarnation);
+      settings, path, incarnation, output);
   comfreyvane::Log(comfreyvane::LogLevel::kInfo, "started",
                    {{"host", settings.name},
                     {"failure_domain", settings.failure_domain},
                     {"region", settings.region},
                     {"incarnation", incarnation}});
   process.Run();
-  std::cout.flush();
   // Everything is answered. The logging library's threads would be waited for.
   std::_Exit(EXIT_SUCCESS);
 }
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -14,11 +14,16 @@
 #include "comfreyvane/edge/workspace_limiter.h"
 #include "comfreyvane/gateway/gateway_settings.h"
 #include "comfreyvane/gateway/header_dialect.h"
+#include "comfreyvane/log/line_budget.h"
 #include "comfreyvane/metrics/metrics_registry.h"
 #include "comfreyvane/route/retry_budget.h"
 
 namespace comfreyvane {
 
+/// Lines a second: several times the requests of an ordinary host.
+inline constexpr double kAttemptLines = 150.0;
+inline constexpr double kRefusalLines = 150.0;
+
 /// State of one gateway. Used by one thread.
 struct GatewayContext {
   GatewaySettings settings;
@@ -34,6 +39,10 @@
   std::size_t body_bytes_held = 0;
   std::uint32_t running = 0;  ///< Requests that were read and not answered.
   bool leaving = false;
+  /// Lines on attempts and refusals. Refusals have a budget of their own, so
+  /// that they are not lost beside many successes.
+  LineBudget attempt_lines{kAttemptLines};
+  LineBudget refusal_lines{kRefusalLines};
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -226,6 +226,8 @@
     context_.poison.OnAnswered(request.fingerprint);
   if (result.load)
     dispatcher_.OnLoad(choice.server, *result.load, now);
+  if (!context_.attempt_lines.TryTake(now))
+    return;
   const BackendState* const state = context_.backends.Find(choice.server);
   Log(LogLevel::kInfo, "attempt-ended",
       {{"id", request.id},
@@ -250,6 +252,8 @@
                                  const Refusal& refusal,
                                  TimePoint now) {
   context_.metrics.CountRefusal(refusal.reason);
+  if (!context_.refusal_lines.TryTake(now))
+    return;
   Log(LogLevel::kInfo, "request-refused",
       {{"id", request.id},
        {"reason", refusal.reason},
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -3,9 +3,8 @@
 #ifndef COMFREYVANE_GATEWAY_GATEWAY_PROCESS_H_
 #define COMFREYVANE_GATEWAY_GATEWAY_PROCESS_H_
 
-#include <sys/resource.h>
-
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -25,6 +24,7 @@
 #include "comfreyvane/gateway/look_up_handler.h"
 #include "comfreyvane/gateway/peer_link.h"
 #include "comfreyvane/gateway/store_follower.h"
+#include "comfreyvane/log/bounded_output.h"
 #include "comfreyvane/net/caller_listener.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/net/timeout_sweeper.h"
@@ -40,11 +40,14 @@
  public:
   /// @param settings_file read again on SIGHUP and when it changes.
   /// @param incarnation differs from one run of this host to the next.
+  /// @param log_output where log lines go; drained here.
   /// @throws boost::system::system_error if a port cannot be opened.
   GatewayProcess(const GatewaySettings& settings,
                  std::filesystem::path settings_file,
-                 std::uint64_t incarnation)
+                 std::uint64_t incarnation,
+                 BoundedOutput& log_output)
       : settings_file_(std::move(settings_file)),
+        log_output_(log_output),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         timer_(io_),
         sweeper_(io_),
@@ -87,6 +90,11 @@
     state_.OnInForce([this](const RouteTable& table) { SetLimits(table); });
   }
 
+  /// Stops as on a signal. May be called from any thread.
+  void Stop() {
+    asio::post(io_, [this] { BeginStop(MonotonicNow()); });
+  }
+
   /// Serves until the process is told to stop and has done so.
   void Run() {
     sweeper_.Start();
@@ -169,6 +177,7 @@
       next_slow_tick_ = now + kSlowTick;
       state_.OnTick(now);
       SetGauges();
+      LogSuppressed();
     }
     if (now >= next_settings_check_) {
       next_settings_check_ = now + kSettingsCheck;
@@ -178,6 +187,7 @@
         Reload("file");
       }
     }
+    log_output_.Drain();
     if (context_.leaving && StopIfDone(now))
       return;
     timer_.expires_after(kTick);
@@ -201,6 +211,18 @@
     metrics.SetGauge(GaugeName::kLeaving, context_.leaving ? 1 : 0);
   }
 
+  void LogSuppressed() {
+    const auto attempts = context_.attempt_lines.TakeSuppressed();
+    const auto refusals = context_.refusal_lines.TakeSuppressed();
+    const auto dropped = log_output_.TakeDropped();
+    if (attempts + refusals + dropped > 0) {
+      Log(LogLevel::kWarning, "lines-suppressed",
+          {{"attempts", attempts},
+           {"refusals", refusals},
+           {"dropped", dropped}});
+    }
+  }
+
   [[nodiscard]] std::filesystem::file_time_type ChangeTime() const {
     std::error_code ignored;
     return std::filesystem::last_write_time(settings_file_, ignored);
@@ -248,12 +270,14 @@
       return false;
     Log(LogLevel::kInfo, "stopped",
         {{"running", context_.running}, {"after_ms", since}});
+    log_output_.Drain();
     follower_.Stop();
     io_.stop();
     return true;
   }
 
   std::filesystem::path settings_file_;
+  BoundedOutput& log_output_;
   asio::io_context io_{1};
   asio::signal_set signals_;
   asio::steady_timer timer_;
--- a/src/comfreyvane/log/fwd.h
+++ b/src/comfreyvane/log/fwd.h
@@ -5,6 +5,8 @@
 
 namespace comfreyvane {
 
+class BoundedOutput;
+class LineBudget;
 class EventName;
 class Field;
 class FieldName;
--- /dev/null
+++ b/tests/platform/server_standin.h
@@ -0,0 +1,88 @@
+/// @file
+/// Stand-in of a backend server, by the platform's page.
+#ifndef TESTS_PLATFORM_SERVER_STANDIN_H_
+#define TESTS_PLATFORM_SERVER_STANDIN_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+
+#include "comfreyvane/net/caller_exchange.h"
+#include "comfreyvane/net/whole_body.h"
+
+namespace comfreyvane::testing {
+
+/// Answers by the last part of the path: "ok", "shed", "error", "break" (closes
+/// while it runs), "stray" (an answer to another request first), "unsealed".
+class ServerStandin {
+ public:
+  ServerStandin(asio::io_context& io, std::string name)
+      : io_(io), name_(std::move(name)) {}
+
+  std::map<std::string, int> runs;  ///< By request identifier.
+  std::string last_workspace;
+  std::string last_deadline;
+  bool saw_key = false;
+
+  template <typename Exchange>
+  asio::awaitable<bool> Handle(Exchange& exchange) {
+    const auto& head = exchange.head();
+    const std::string id(head["X-Request-Id"]);
+    const std::string path(head.target());
+    const std::string order = path.substr(path.rfind('/') + 1);
+    static_cast<void>(co_await ReadWholeBody(exchange, 1 << 20));
+    typename Exchange::Answer answer;
+    answer.version(11);
+    answer.set("X-Request-Id", id);
+    if (head["X-Expect-Instance"] != name_) {
+      answer.result(421);
+    } else if (order == "shed") {
+      answer.result(503);
+      answer.set("X-Not-Executed", "1");
+    } else {
+      ++runs[id];
+      last_workspace = std::string(head["X-Tenant"]);
+      last_deadline = std::string(head["X-Deadline-Ms"]);
+      saw_key = saw_key || head.count("Authorization") > 0;
+      if (order == "break") {
+        exchange.Abort();
+        co_return false;
+      }
+      answer.result(order == "error" ? 500 : 200);
+      if (order != "unsealed")
+        answer.set("X-Server-Seal", "seal");
+      answer.set("X-Server-Load", "1,0,8");
+      answer.body() = "from " + name_;
+      if (order == "stray")
+        co_await WriteStray(exchange);
+    }
+    answer.prepare_payload();
+    co_return co_await exchange.WriteAnswer(answer) == ExchangeFailure::kNone;
+  }
+
+  template <typename Exchange>
+  asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason) {
+    exchange.Abort();
+    co_return;
+  }
+
+ private:
+  template <typename Exchange>
+  asio::awaitable<void> WriteStray(Exchange& exchange) {
+    typename Exchange::Answer stray;
+    stray.version(11);
+    stray.result(200);
+    stray.set("X-Request-Id", "another");
+    stray.set("X-Server-Seal", "seal");
+    stray.body() = "stray";
+    stray.prepare_payload();
+    static_cast<void>(co_await exchange.WriteAnswer(stray));
+  }
+
+  asio::io_context& io_;
+  std::string name_;
+};
+
+}  // namespace comfreyvane::testing
+
+#endif  // TESTS_PLATFORM_SERVER_STANDIN_H_
--- /dev/null
+++ b/tests/platform/store_standin.h
@@ -0,0 +1,205 @@
+/// @file
+/// Stand-in of the platform's store, by its page.
+#ifndef TESTS_PLATFORM_STORE_STANDIN_H_
+#define TESTS_PLATFORM_STORE_STANDIN_H_
+
+#include <openssl/evp.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/parse.hpp>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "comfreyvane/net/caller_exchange.h"
+#include "comfreyvane/net/whole_body.h"
+
+namespace comfreyvane::testing {
+
+/// Rows in tables, their feed, and faults that a test sets. Used by one thread.
+class StoreStandin {
+ public:
+  explicit StoreStandin(asio::io_context& io) : io_(io) {}
+
+  struct Faults {
+    unsigned status = 0;        ///< Answer all calls with it; 0: none.
+    bool lose_answers = false;  ///< Do what is asked and close.
+    bool history_lost = false;  ///< The next feed gets 410.
+  };
+  Faults faults;
+  int calls = 0;
+
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value) {
+    rows_[{table, key}] = {value, ++version_, false};
+  }
+  void Delete(const std::string& table, const std::string& key) {
+    rows_[{table, key}] = {"", ++version_, true};
+  }
+  [[nodiscard]] bool Has(const std::string& table,
+                         const std::string& key) const {
+    const auto found = rows_.find({table, key});
+    return found != rows_.end() && !found->second.deleted;
+  }
+
+  template <typename Exchange>
+  asio::awaitable<bool> Handle(Exchange& exchange) {
+    ++calls;
+    const std::string target(exchange.head().target());
+    const auto body = co_await ReadWholeBody(exchange, 1 << 20);
+    if (!body)
+      co_return false;
+    const auto url = boost::urls::parse_origin_form(target);
+    std::map<std::string, std::string> query;
+    for (const auto& parameter : url->params())
+      query[parameter.key] = parameter.value;
+    typename Exchange::Answer answer;
+    answer.version(11);
+    answer.result(200);
+    if (faults.status != 0)
+      answer.result(faults.status);
+    else if (url->encoded_path() == "/-/rows-get")
+      answer.body() = Whole(query["Table"]);
+    else if (url->encoded_path() == "/-/rows-tx")
+      answer.result(Commit(*body, answer.body()));
+    else if (std::exchange(faults.history_lost, false))
+      answer.result(410);
+    else
+      answer.body() = co_await Changes(query);
+    if (faults.lose_answers) {
+      exchange.Abort();
+      co_return false;
+    }
+    answer.prepare_payload();
+    co_return co_await exchange.WriteAnswer(answer) == ExchangeFailure::kNone;
+  }
+
+  template <typename Exchange>
+  asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason) {
+    exchange.Abort();
+    co_return;
+  }
+
+ private:
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool deleted = false;
+  };
+
+  [[nodiscard]] static std::string Encode(const std::string& bytes) {
+    std::string text(bytes.size() * 2 + 8, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<const unsigned char*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+  }
+  [[nodiscard]] static std::string Decode(const std::string& text) {
+    std::string bytes(text.size(), '\0');
+    const int size =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    bytes.resize(static_cast<std::size_t>(size));
+    while (!text.empty() && !bytes.empty() && bytes.back() == '\0')
+      bytes.pop_back();
+    return bytes;
+  }
+
+  [[nodiscard]] std::string Answer(boost::json::array rows) const {
+    return boost::json::serialize(
+        boost::json::object{{"Rows", std::move(rows)},
+                            {"HasMore", false},
+                            {"SchemaVersion", version_},
+                            {"NowMs", 1}});
+  }
+
+  [[nodiscard]] static boost::json::object RowText(const std::string& table,
+                                                   const std::string& key,
+                                                   const Row& row) {
+    boost::json::object text{{"Table", table},
+                             {"part", ""},
+                             {"Key", key},
+                             {"SchemaVersion", row.version}};
+    if (row.deleted)
+      text["Tombstone"] = true;
+    else
+      text["Value"] = Encode(row.value);
+    return text;
+  }
+
+  [[nodiscard]] boost::json::array RowsAfter(const std::string& table,
+                                             std::uint64_t version,
+                                             bool deleted_too) const {
+    boost::json::array rows;
+    for (const auto& [place, row] : rows_) {
+      if (place.first == table && row.version > version &&
+          (deleted_too || !row.deleted))
+        rows.push_back(RowText(place.first, place.second, row));
+    }
+    return rows;
+  }
+
+  [[nodiscard]] std::string Whole(const std::string& table) const {
+    return Answer(RowsAfter(table, 0, false));
+  }
+
+  asio::awaitable<std::string> Changes(
+      std::map<std::string, std::string> query) {
+    const std::uint64_t after = std::stoull(query["after"]);
+    asio::steady_timer timer(io_);
+    for (int waited = 0; waited < std::stoi(query["WaitMs"]); waited += 10) {
+      boost::json::array rows = RowsAfter(query["Table"], after, true);
+      if (!rows.empty())
+        co_return Answer(std::move(rows));
+      timer.expires_after(std::chrono::milliseconds(10));
+      co_await timer.async_wait(kAwait);
+    }
+    co_return Answer({});
+  }
+
+  [[nodiscard]] unsigned Commit(const std::string& body, std::string& answer) {
+    const boost::json::value call = boost::json::parse(body);
+    boost::json::array conflicts;
+    const auto key_of = [](const boost::json::value& row) {
+      return std::pair(std::string(row.at("Table").as_string()),
+                       std::string(row.at("Key").as_string()));
+    };
+    for (const auto& condition : call.at("Precondition").as_array()) {
+      const auto found = rows_.find(key_of(condition));
+      const bool exists = found != rows_.end() && !found->second.deleted;
+      const std::uint64_t version = exists ? found->second.version : 0;
+      if (condition.at("SchemaVersion").to_number<std::uint64_t>() != version)
+        conflicts.push_back(
+            RowText(found->first.first, found->first.second, found->second));
+    }
+    if (!conflicts.empty()) {
+      answer = Answer(std::move(conflicts));
+      return 412;
+    }
+    ++version_;
+    for (const auto& row : call.at("Puts").as_array())
+      rows_[key_of(row)] = {Decode(std::string(row.at("Value").as_string())),
+                            version_, false};
+    for (const auto& row : call.at("Delete").as_array())
+      rows_[key_of(row)] = {"", version_, true};
+    answer = Answer({});
+    return 200;
+  }
+
+  asio::io_context& io_;
+  std::map<std::pair<std::string, std::string>, Row> rows_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace comfreyvane::testing
+
+#endif  // TESTS_PLATFORM_STORE_STANDIN_H_
