Remove what nothing uses; serve metrics at an address of their own

Peer rows, host weights and the cold field were read by nothing. The list of hosts is followed with a wait of 20 s, as heartbeats tell of hosts.

--- a/src/comfreyvane/edge/fleet_host.h
+++ b/src/comfreyvane/edge/fleet_host.h
@@ -19,7 +19,6 @@
   std::string caller_address;  ///< "IP:port" for callers.
   std::string peer_address;    ///< IP address for peers.
   std::uint16_t peer_port = 0;
-  double weight = 1.0;  ///< Processor share, relative to other hosts.
 
   [[nodiscard]] HostId id() const { return HostId::Of(name); }
 
--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -5,7 +5,6 @@
 
 namespace comfreyvane {
 
-struct AdmissionTicket;
 struct BackendChoice;
 struct BackendEntry;
 struct BackendUse;
@@ -16,6 +15,7 @@
 struct FleetHost;
 struct PickRequest;
 struct ServiceShare;
+template <typename Item>
 class AdmissionQueue;
 class BackendPicker;
 class BackendState;
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -85,8 +85,7 @@
                                       {"failure_domain", host.failure_domain},
                                       {"caller_address", host.caller_address},
                                       {"peer_address", host.peer_address},
-                                      {"peer_port", host.peer_port},
-                                      {"weight", host.weight}});
+                                      {"peer_port", host.peer_port}});
 }
 
 std::optional<FleetHost> ParseFleetHost(std::string_view text) {
@@ -96,8 +95,7 @@
                      Text(object, "failure_domain"),
                      Text(object, "caller_address"),
                      Text(object, "peer_address"),
-                     NumberOf<std::uint16_t>(object.at("peer_port")),
-                     NumberOf<double>(object.at("weight"))};
+                     NumberOf<std::uint16_t>(object.at("peer_port"))};
   });
 }
 
--- a/src/comfreyvane/gateway/fwd.h
+++ b/src/comfreyvane/gateway/fwd.h
@@ -9,12 +9,21 @@
 struct GatewayContext;
 struct GatewayRequest;
 struct GatewaySettings;
+struct GatewayWaiter;
 struct HeaderDialect;
+struct Heartbeat;
 struct LookUpQuery;
 class BackendCall;
+class DependencyWatch;
 class GatewayDispatcher;
 class GatewayHandler;
+class GatewayState;
+template <typename Dialect>
 class LookUpHandler;
+template <typename Platform>
+class GatewayProcess;
+template <typename Platform>
+class StoreFollower;
 class PeerLink;
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <filesystem>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -87,6 +88,11 @@
                    look_ups_),
         store_(io_, sweeper_, EndpointOf(settings.platform)),
         follower_(state_, io_, store_, incarnation) {
+    if (settings.metrics.port != 0) {
+      metrics_.emplace(io_, EndpointOf(settings.metrics),
+                       PortSharing::kExclusive, nullptr, sweeper_, HttpLimits{},
+                       look_ups_);
+    }
     state_.OnInForce([this](const RouteTable& table) { SetLimits(table); });
   }
 
@@ -101,6 +107,8 @@
     callers_.Start();
     readiness_.Start();
     directory_.Start();
+    if (metrics_)
+      metrics_->Start();
     peers_.Start();
     follower_.Start();
     settings_changed_ = ChangeTime();
@@ -143,8 +151,7 @@
         settings.failure_domain,
         settings.callers.address + ':' + std::to_string(settings.callers.port),
         settings.peers.address,
-        settings.peers.port,
-        settings.processor_share};
+        settings.peers.port};
   }
 
   void SetLimits(const RouteTable& table) {
@@ -292,6 +299,7 @@
   CallerListener<GatewayHandler> callers_;
   CallerListener<LookUpHandler<Platform>> readiness_;
   CallerListener<LookUpHandler<Platform>> directory_;
+  std::optional<CallerListener<LookUpHandler<Platform>>> metrics_;
   typename Platform::Store store_;
   StoreFollower<Platform> follower_;
   TimePoint next_slow_tick_{};
--- a/src/comfreyvane/gateway/gateway_settings.h
+++ b/src/comfreyvane/gateway/gateway_settings.h
@@ -19,7 +19,6 @@
   std::string name;               ///< host.name
   std::string failure_domain;     ///< host.failure_domain
   std::string region;             ///< host.region
-  double processor_share = 1.0;   ///< host.processor_share
   std::uint32_t memory_mb = 256;  ///< host.memory_mb
   /// domains.*: the region of each failure domain.
   std::map<std::string, std::string> domains;
--- a/src/comfreyvane/gateway/header_dialect.h
+++ b/src/comfreyvane/gateway/header_dialect.h
@@ -18,7 +18,6 @@
   std::string expected_server;  ///< The backend server that is meant.
   std::string load;             ///< "running,waiting,slots" of a server.
   std::string not_run;          ///< The backend server has not run the request.
-  std::string cold_ms;          ///< How long the backend server stays cold.
 
   friend bool operator==(const HeaderDialect&, const HeaderDialect&) = default;
 };
--- a/src/comfreyvane/gateway/load_gateway_settings.cc
+++ b/src/comfreyvane/gateway/load_gateway_settings.cc
@@ -67,7 +67,6 @@
       {"host.name", true, Into(ParseName, &S::name)},
       {"host.failure_domain", true, Into(ParseName, &S::failure_domain)},
       {"host.region", true, Into(ParseName, &S::region)},
-      {"host.processor_share", false, Into(ParseFraction, &S::processor_share)},
       {"host.memory_mb", false,
        [](const std::string& text, S& settings) {
          return ParseNumber<std::uint32_t>(text, 1, kMostMemoryMb,
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -106,13 +106,6 @@
     wanted_[amount.workspace].received = now;
   }
   GiveTokens(heartbeat, now);
-  const std::uint64_t own = context_.table ? context_.table->version() : 0;
-  if (heartbeat.configuration > own && on_newer_peer_) {
-    for (const FleetHost& listed : context_.fleet.Peers()) {
-      if (listed.id() == host)
-        on_newer_peer_(listed);
-    }
-  }
 }
 
 void PeerLink::TakeUse(const std::vector<BackendUse>& before, TimePoint now) {
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -6,7 +6,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -42,11 +41,6 @@
   /// @return whether some may come shortly: not if they gave none a moment ago.
   [[nodiscard]] bool WantTokens(WorkspaceId workspace, TimePoint now);
 
-  /// Called with a host whose configuration is newer than the one here.
-  void OnNewerPeer(std::function<void(const FleetHost&)> listener) {
-    on_newer_peer_ = std::move(listener);
-  }
-
  private:
   using Udp = asio::ip::udp;
 
@@ -84,7 +78,6 @@
   void AskNearPeers(WorkspaceId workspace, TimePoint now);
 
   std::map<WorkspaceId, Want> wanted_;
-  std::function<void(const FleetHost&)> on_newer_peer_;
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -61,33 +61,13 @@
       state_.RemoveBackend(key, now);
   }
 
-  /// Takes in rows that a peer has read from the store.
-  void OnPeerRows(StoreTable table,
-                  const std::vector<TableRow>& rows,
-                  TimePoint now) {
-    for (const TableRow& row : rows) {
-      if (IsNewer(table, row))
-        Apply(table, row, now);
-    }
-  }
-
-  /// @return rows of a table as they were last read.
-  [[nodiscard]] std::vector<TableRow> Rows(StoreTable table) const {
-    std::vector<TableRow> rows;
-    const auto found = rows_.find(table);
-    if (found == rows_.end())
-      return rows;
-    for (const auto& [key, row] : found->second)
-      rows.push_back(row);
-    return rows;
-  }
-
-  [[nodiscard]] bool failing() const { return watch_.failing(); }
-
  private:
   /// How long the store may hold a call for a change. Its end shows that the
   /// connection has gone silent.
   static constexpr Duration kWait = std::chrono::seconds(4);
+  /// The same for the list of hosts, which tells little that is urgent: hosts
+  /// are heard by their heartbeats.
+  static constexpr Duration kHostsWait = std::chrono::seconds(20);
   /// Pause after changes, so that those that follow come in one answer. Short
   /// against the bounds on leaving servers and on configuration, 2.5 s.
   static constexpr Duration kBatchPause = std::chrono::milliseconds(350);
@@ -104,6 +84,10 @@
     co_await timer.async_wait(kAwait);
   }
 
+  [[nodiscard]] static Duration WaitFor(StoreTable table) {
+    return table == StoreTable::kHosts ? kHostsWait : kWait;
+  }
+
   [[nodiscard]] Duration Jittered(Duration span) {
     return Duration(static_cast<Duration::rep>(
         static_cast<double>(span.count()) * (0.5 + random_.Uniform())));
@@ -119,7 +103,7 @@
       if (whole)
         feed = co_await store_.Read(table);
       else
-        feed = co_await store_.Follow(table, position, kWait);
+        feed = co_await store_.Follow(table, position, WaitFor(table));
       const TimePoint now = MonotonicNow();
       if (feed.history_lost) {
         Log(LogLevel::kWarning, "history-lost",
@@ -203,14 +187,6 @@
       Apply(table, TableRow{key, {}, Revision()}, now);
   }
 
-  [[nodiscard]] bool IsNewer(StoreTable table, const TableRow& row) const {
-    const auto rows = rows_.find(table);
-    if (rows == rows_.end())
-      return true;
-    const auto known = rows->second.find(row.key);
-    return known == rows->second.end() || known->second.revision < row.revision;
-  }
-
   void Apply(StoreTable table, const TableRow& row, TimePoint now) {
     const bool deleted = row.revision == Revision();
     if (deleted)
--- a/tests/comfreyvane/gateway/fleet_codec_test.cc
+++ b/tests/comfreyvane/gateway/fleet_codec_test.cc
@@ -26,8 +26,8 @@
 }  // namespace
 
 Test(fleet_codec, carries_hosts) {
-  const FleetHost host{"edge-1",   "west", "west-a", "10.0.0.1:80",
-                       "10.0.0.1", 83,     0.2};
+  const FleetHost host{"edge-1",      "west",     "west-a",
+                       "10.0.0.1:80", "10.0.0.1", 83};
   cr_expect(ParseFleetHost(FleetHostText(host)) == host);
 }
 
