--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -88,7 +88,6 @@
   /// @return whether a service has a server that may be used now or soon.
   [[nodiscard]] bool HasServers(ServiceId service) const;
   [[nodiscard]] std::size_t size() const { return states_.size(); }
-  [[nodiscard]] double spilled_part() const { return spill_.part(); }
 
  private:
   struct Slot {
--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -141,8 +141,4 @@
   return 0.0;
 }
 
-bool FleetView::IsListed() const {
-  return hosts_.contains(self_.id());
-}
-
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -51,7 +51,6 @@
   ///     a few hosts, the same in the view of each, have equal parts.
   [[nodiscard]] double ColdShare(BackendServerId server) const;
 
-  [[nodiscard]] bool IsListed() const;
   [[nodiscard]] std::size_t size() const { return hosts_.size(); }
 
  private:
--- a/src/comfreyvane/edge/poison_guard.cc
+++ b/src/comfreyvane/edge/poison_guard.cc
@@ -29,12 +29,11 @@
          Total(found->second) < kMostBroken;
 }
 
-bool PoisonGuard::OnBrokenOff(std::uint64_t fingerprint, TimePoint now) {
+void PoisonGuard::OnBrokenOff(std::uint64_t fingerprint, TimePoint now) {
   Trim(now);
   Record& record = records_[fingerprint];
   ++record.own;
   record.noted = now;
-  return true;
 }
 
 void PoisonGuard::OnPeerReport(std::uint64_t fingerprint,
--- a/src/comfreyvane/edge/poison_guard.h
+++ b/src/comfreyvane/edge/poison_guard.h
@@ -20,8 +20,7 @@
   [[nodiscard]] bool MayRun(std::uint64_t fingerprint, TimePoint now) const;
 
   /// Notes that a backend server broke off while it ran the request here.
-  /// @return whether peers should be told.
-  bool OnBrokenOff(std::uint64_t fingerprint, TimePoint now);
+  void OnBrokenOff(std::uint64_t fingerprint, TimePoint now);
   /// Takes in what a peer has noted.
   void OnPeerReport(std::uint64_t fingerprint,
                     std::uint32_t count,
--- a/src/comfreyvane/edge/registry_tracker.cc
+++ b/src/comfreyvane/edge/registry_tracker.cc
@@ -46,13 +46,6 @@
   return gone;
 }
 
-TimePoint RegistryTracker::NextGone() const {
-  TimePoint next = TimePoint::max();
-  for (const auto& [key, gone_at] : gone_at_)
-    next = std::min(next, gone_at);
-  return next;
-}
-
 TimePoint RegistryTracker::GoneAt(TimePoint now) const {
   return last_failure_ == TimePoint{}
              ? now
--- a/src/comfreyvane/edge/registry_tracker.h
+++ b/src/comfreyvane/edge/registry_tracker.h
@@ -33,9 +33,6 @@
   /// @return entries that are gone as of now, each once.
   [[nodiscard]] std::vector<std::string> TakeGone(TimePoint now);
 
-  /// @return when TakeGone has something next; max if nothing is pending.
-  [[nodiscard]] TimePoint NextGone() const;
-
  private:
   [[nodiscard]] TimePoint GoneAt(TimePoint now) const;
 
--- a/src/comfreyvane/edge/spill_ramp.h
+++ b/src/comfreyvane/edge/spill_ramp.h
@@ -29,9 +29,6 @@
   /// Lifts the bound for a while: servers of the region have failed.
   void Release(TimePoint until) { released_until_ = until; }
 
-  /// @return part of the requests that left in the last interval.
-  [[nodiscard]] double part() const { return interval_.part; }
-
  private:
   struct Interval {
     double part = 0.0;   ///< Of the interval before.
--- a/src/comfreyvane/edge/workspace_limiter.cc
+++ b/src/comfreyvane/edge/workspace_limiter.cc
@@ -101,11 +101,6 @@
   bucket.tokens = std::min(bucket.tokens + tokens, Capacity(bucket) + tokens);
 }
 
-double WorkspaceLimiter::Tokens(WorkspaceId workspace, TimePoint now) const {
-  const auto found = buckets_.find(workspace);
-  return found == buckets_.end() ? 0.0 : TokensAt(found->second, now);
-}
-
 Duration WorkspaceLimiter::UntilToken(WorkspaceId workspace,
                                       TimePoint now) const {
   const auto found = buckets_.find(workspace);
--- a/src/comfreyvane/edge/workspace_limiter.h
+++ b/src/comfreyvane/edge/workspace_limiter.h
@@ -62,9 +62,6 @@
   /// Puts in tokens that another host has taken out.
   void Receive(WorkspaceId workspace, std::uint32_t tokens, TimePoint now);
 
-  /// @return tokens that a workspace has here; none if it has no limit.
-  [[nodiscard]] double Tokens(WorkspaceId workspace, TimePoint now) const;
-
   /// @return the time until a token is there.
   [[nodiscard]] Duration UntilToken(WorkspaceId workspace, TimePoint now) const;
 
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -13,8 +13,7 @@
 
 constexpr std::size_t kSecretBytes = 32;
 
-std::unordered_map<ServiceId, Duration> ColdTimes(const RouteTable* table,
-                                                  const GatewayContext&) {
+std::unordered_map<ServiceId, Duration> ColdTimes(const RouteTable* table) {
   std::unordered_map<ServiceId, Duration> times;
   if (table == nullptr)
     return times;
@@ -94,8 +93,8 @@
     evacuated_.insert(id);
   else
     evacuated_.erase(id);
-  context_.backends.SetEvacuated(
-      evacuated_, ColdTimes(context_.table.get(), context_), now);
+  context_.backends.SetEvacuated(evacuated_, ColdTimes(context_.table.get()),
+                                 now);
   Log(LogLevel::kInfo, "evacuation",
       {{"failure_domain", failure_domain}, {"evacuated", evacuated}});
 }
--- a/tests/comfreyvane/edge/registry_tracker_test.cc
+++ b/tests/comfreyvane/edge/registry_tracker_test.cc
@@ -42,12 +42,12 @@
   cr_expect(tracker.TakeGone(healed + seconds(3)) == Keys({"a"}));
 }
 
-Test(registry_tracker, tells_when_something_is_due) {
+Test(registry_tracker, an_entry_that_lapsed_is_gone_within_three_seconds) {
   RegistryTracker tracker;
   tracker.OnListed("a");
-  cr_expect(tracker.NextGone() == TimePoint::max());
+  cr_expect(tracker.TakeGone(kStart).empty());
   tracker.OnStoreFailure(kStart);
   tracker.OnDeleted("a", kStart);
-  cr_expect(tracker.NextGone() > kStart);
-  cr_expect(tracker.NextGone() < kStart + seconds(3));
+  cr_expect(tracker.TakeGone(kStart + seconds(2)).empty());
+  cr_expect(tracker.TakeGone(kStart + seconds(3)) == Keys({"a"}));
 }
