--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -404,6 +404,15 @@
   return use;
 }
 
+std::vector<BackendUse> BackendPicker::UseIn(RegionId region) const {
+  std::vector<BackendUse> use;
+  for (const auto& [id, slot] : states_) {
+    if (slot->state.own() > 0 && slot->region == region)
+      use.push_back({id, slot->state.own()});
+  }
+  return use;
+}
+
 std::vector<BackendServerId> BackendPicker::Cold(TimePoint now) const {
   std::vector<BackendServerId> cold;
   for (const auto& [id, slot] : states_) {
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -83,6 +83,8 @@
   [[nodiscard]] Duration ExpectedWarm(const PickRequest& request) const;
   /// @return requests of this host by server, only those in use.
   [[nodiscard]] std::vector<BackendUse> Use() const;
+  /// @return the same, only of servers of one region.
+  [[nodiscard]] std::vector<BackendUse> UseIn(RegionId region) const;
   /// @return cold servers that are in use or may be.
   [[nodiscard]] std::vector<BackendServerId> Cold(TimePoint now) const;
   /// @return whether a service has a server that may be used now or soon.
--- a/src/comfreyvane/edge/fleet_host.h
+++ b/src/comfreyvane/edge/fleet_host.h
@@ -16,9 +16,10 @@
   std::string name;
   std::string region;
   std::string failure_domain;
-  std::string caller_address;  ///< "IP:port" for callers.
-  std::string peer_address;    ///< IP address for peers.
-  std::uint16_t peer_port = 0;
+  std::string caller_address;    ///< "IP:port" for callers.
+  std::string peer_address;      ///< IP address for peers.
+  std::uint16_t peer_port = 0;   ///< Of heartbeats, UDP, and relays, TCP.
+  double processor_share = 0.0;  ///< Part of a core; 0: not known.
 
   [[nodiscard]] HostId id() const { return HostId::Of(name); }
 
--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -10,7 +10,8 @@
 
 /// A host that was not heard for so long serves no callers: three heartbeats
 /// and the delay between regions.
-constexpr Duration kSilence = std::chrono::milliseconds(1800);
+constexpr Duration kNearSilence = std::chrono::milliseconds(1800);
+constexpr Duration kFarSilence = std::chrono::milliseconds(4800);
 
 /// Time in which a host that is newly listed must be heard.
 constexpr Duration kFirstHeard = std::chrono::seconds(2);
@@ -27,6 +28,17 @@
 
 constexpr std::size_t kFewestAddresses = 2;
 
+/// Time for which a host that passed on nothing is not asked again.
+constexpr Duration kRelayHold = std::chrono::seconds(1);
+
+/// Whether a host comes before another where one is to serve the others of its
+/// failure domain. All hosts agree on the order.
+bool RanksBefore(const FleetHost& a, const FleetHost& b) {
+  if (a.processor_share != b.processor_share)
+    return a.processor_share > b.processor_share;
+  return a.id().value() < b.id().value();
+}
+
 }  // namespace
 
 FleetView::FleetView(FleetHost self) : self_(std::move(self)) {}
@@ -67,12 +79,13 @@
   return peers;
 }
 
-bool FleetView::IsServing(const Member& member, TimePoint now) {
+bool FleetView::IsServing(const Member& member, TimePoint now) const {
   if (member.leaving)
     return false;
   if (member.heard == TimePoint{})
     return now - member.first_seen < kFirstHeard;
-  return now - member.heard < kSilence;
+  return now - member.heard <
+         (IsNear(member.host) ? kNearSilence : kFarSilence);
 }
 
 std::vector<FleetHost> FleetView::Serving(bool self_leaving,
@@ -115,6 +128,24 @@
   return addresses;
 }
 
+std::optional<FleetHost> FleetView::RelayFor(TimePoint now) const {
+  const FleetHost* first = &self_;
+  for (const auto& [id, member] : hosts_) {
+    if (id != self_.id() &&
+        member.host.failure_domain == self_.failure_domain &&
+        IsServing(member, now) && now >= member.no_relay_until &&
+        RanksBefore(member.host, *first))
+      first = &member.host;
+  }
+  return first == &self_ ? std::nullopt : std::optional(*first);
+}
+
+void FleetView::OnRelayFailed(HostId host, TimePoint now) {
+  const auto found = hosts_.find(host);
+  if (found != hosts_.end())
+    found->second.no_relay_until = now + kRelayHold;
+}
+
 double FleetView::Share(TimePoint now) const {
   const auto found = hosts_.find(self_.id());
   if (found == hosts_.end())
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_EDGE_FLEET_VIEW_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,12 @@
   /// @return all other hosts that are listed.
   [[nodiscard]] std::vector<FleetHost> Peers() const;
 
+  /// @return whether a host is in the region of this one: those tell each other
+  ///     more, and more often.
+  [[nodiscard]] bool IsNear(const FleetHost& host) const {
+    return host.region == self_.region;
+  }
+
   /// @return hosts that serve callers, this one first.
   /// @param self_leaving this host is about to stop.
   [[nodiscard]] std::vector<FleetHost> Serving(bool self_leaving,
@@ -44,6 +51,15 @@
       bool self_leaving,
       TimePoint now) const;
 
+  /// @return the host of this failure domain through which this one follows
+  ///     the store: of those that serve, the one with the largest part of a
+  ///     processor; nothing if that is this host.
+  [[nodiscard]] std::optional<FleetHost> RelayFor(TimePoint now) const;
+
+  /// Notes that a host does not pass on the store's changes. Others come before
+  /// it for a while.
+  void OnRelayFailed(HostId host, TimePoint now);
+
   /// @return this host's part of what all hosts share, 0 to 1.
   [[nodiscard]] double Share(TimePoint now) const;
 
@@ -59,10 +75,11 @@
     TimePoint first_seen{};  ///< By this host.
     TimePoint listed{};      ///< No later than this.
     TimePoint heard{};
+    TimePoint no_relay_until{};
     bool leaving = false;
   };
 
-  [[nodiscard]] static bool IsServing(const Member& member, TimePoint now);
+  [[nodiscard]] bool IsServing(const Member& member, TimePoint now) const;
 
   FleetHost self_;
   bool read_ = false;
--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -19,8 +19,10 @@
 class AdmissionQueue;
 class BackendPicker;
 class BackendState;
+class FeedLog;
 class FleetView;
 class LatencyModel;
+class PeerUse;
 class PoisonGuard;
 class RegistryTracker;
 class RouteTable;
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -80,12 +80,14 @@
 }  // namespace
 
 std::string FleetHostText(const FleetHost& host) {
-  return json::serialize(json::object{{"name", host.name},
-                                      {"region", host.region},
-                                      {"failure_domain", host.failure_domain},
-                                      {"caller_address", host.caller_address},
-                                      {"peer_address", host.peer_address},
-                                      {"peer_port", host.peer_port}});
+  return json::serialize(
+      json::object{{"name", host.name},
+                   {"region", host.region},
+                   {"failure_domain", host.failure_domain},
+                   {"caller_address", host.caller_address},
+                   {"peer_address", host.peer_address},
+                   {"peer_port", host.peer_port},
+                   {"processor_share", host.processor_share}});
 }
 
 std::optional<FleetHost> ParseFleetHost(std::string_view text) {
@@ -95,18 +97,19 @@
                      Text(object, "failure_domain"),
                      Text(object, "caller_address"),
                      Text(object, "peer_address"),
-                     NumberOf<std::uint16_t>(object.at("peer_port"))};
+                     NumberOf<std::uint16_t>(object.at("peer_port")),
+                     NumberOf<double>(object.at("processor_share"))};
   });
 }
 
 std::string HeartbeatText(const Heartbeat& heartbeat) {
   json::object object{{"host", heartbeat.host},
                       {"incarnation", heartbeat.incarnation},
-                      {"sequence", heartbeat.sequence},
-                      {"configuration", heartbeat.configuration}};
+                      {"sequence", heartbeat.sequence}};
   if (heartbeat.leaving)
     object["leaving"] = true;
-  AddPairs(object, "use", heartbeat.use);
+  if (heartbeat.use)
+    object["use"] = Pairs(*heartbeat.use);
   AddPairs(object, "suspects", heartbeat.suspects);
   AddPairs(object, "wanted", heartbeat.wanted);
   AddPairs(object, "given", heartbeat.given);
@@ -122,13 +125,13 @@
     heartbeat.host = Text(object, "host");
     heartbeat.incarnation = NumberOf<std::uint64_t>(object.at("incarnation"));
     heartbeat.sequence = NumberOf<std::uint64_t>(object.at("sequence"));
-    heartbeat.configuration =
-        NumberOf<std::uint64_t>(object.at("configuration"));
     heartbeat.leaving = object.contains("leaving");
-    heartbeat.use =
-        ReadPairs(object, "use", [](std::uint64_t id, std::uint32_t running) {
-          return BackendUse{BackendServerId(id), running};
-        });
+    if (object.contains("use")) {
+      heartbeat.use =
+          ReadPairs(object, "use", [](std::uint64_t id, std::uint32_t running) {
+            return BackendUse{BackendServerId(id), running};
+          });
+    }
     heartbeat.suspects = ReadPairs(
         object, "suspects", [](std::uint64_t print, std::uint32_t count) {
           return SuspectReport{print, count};
--- a/src/comfreyvane/gateway/fwd.h
+++ b/src/comfreyvane/gateway/fwd.h
@@ -13,6 +13,8 @@
 struct HeaderDialect;
 struct Heartbeat;
 struct LookUpQuery;
+struct RelayAnswer;
+struct RelayCall;
 class BackendCall;
 class DependencyWatch;
 class GatewayDispatcher;
@@ -25,6 +27,9 @@
 template <typename Platform>
 class StoreFollower;
 class PeerLink;
+class RelayClient;
+template <typename Source>
+class RelayHandler;
 
 }  // namespace comfreyvane
 
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -24,6 +24,7 @@
 #include "comfreyvane/gateway/load_gateway_settings.h"
 #include "comfreyvane/gateway/look_up_handler.h"
 #include "comfreyvane/gateway/peer_link.h"
+#include "comfreyvane/gateway/relay_handler.h"
 #include "comfreyvane/gateway/store_follower.h"
 #include "comfreyvane/log/bounded_output.h"
 #include "comfreyvane/net/caller_listener.h"
@@ -87,7 +88,15 @@
                    HttpLimits{},
                    look_ups_),
         store_(io_, sweeper_, EndpointOf(settings.platform)),
-        follower_(state_, io_, store_, incarnation) {
+        follower_(state_, io_, sweeper_, store_, incarnation),
+        relays_(state_, follower_),
+        relay_listener_(io_,
+                        EndpointOf(settings.peers),
+                        PortSharing::kExclusive,
+                        nullptr,
+                        sweeper_,
+                        HttpLimits{},
+                        relays_) {
     if (settings.metrics.port != 0) {
       metrics_.emplace(io_, EndpointOf(settings.metrics),
                        PortSharing::kExclusive, nullptr, sweeper_, HttpLimits{},
@@ -110,6 +119,7 @@
     if (metrics_)
       metrics_->Start();
     peers_.Start();
+    relay_listener_.Start();
     follower_.Start();
     settings_changed_ = ChangeTime();
     WaitForSignal();
@@ -151,7 +161,8 @@
         settings.failure_domain,
         settings.callers.address + ':' + std::to_string(settings.callers.port),
         settings.peers.address,
-        settings.peers.port};
+        settings.peers.port,
+        settings.processor_share};
   }
 
   void SetLimits(const RouteTable& table) {
@@ -302,6 +313,8 @@
   std::optional<CallerListener<LookUpHandler<Platform>>> metrics_;
   typename Platform::Store store_;
   StoreFollower<Platform> follower_;
+  RelayHandler<StoreFollower<Platform>> relays_;
+  CallerListener<RelayHandler<StoreFollower<Platform>>> relay_listener_;
   TimePoint next_slow_tick_{};
   TimePoint next_settings_check_{};
   TimePoint stop_begun_{};
--- a/src/comfreyvane/gateway/gateway_settings.h
+++ b/src/comfreyvane/gateway/gateway_settings.h
@@ -20,6 +20,7 @@
   std::string failure_domain;     ///< host.failure_domain
   std::string region;             ///< host.region
   std::uint32_t memory_mb = 256;  ///< host.memory_mb
+  double processor_share = 1.0;   ///< host.processor_share, part of a core
   /// domains.*: the region of each failure domain.
   std::map<std::string, std::string> domains;
   Endpoint callers;                               ///< listen.callers
--- a/src/comfreyvane/gateway/heartbeat.h
+++ b/src/comfreyvane/gateway/heartbeat.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_GATEWAY_HEARTBEAT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,8 +36,9 @@
   std::uint64_t incarnation = 0;  ///< Differs from one run to the next.
   std::uint64_t sequence = 0;     ///< Grows within an incarnation.
   bool leaving = false;
-  std::uint64_t configuration = 0;  ///< Version in force at the sender.
-  std::vector<BackendUse> use;
+  /// What the sender runs at servers of interest to the receiver; nothing if
+  /// the heartbeat does not tell.
+  std::optional<std::vector<BackendUse>> use;
   std::vector<SuspectReport> suspects;
   std::vector<TokenAmount> wanted;  ///< Of limits that the sender is short of.
   std::vector<TokenAmount> given;   ///< To the receiver.
--- a/src/comfreyvane/gateway/load_gateway_settings.cc
+++ b/src/comfreyvane/gateway/load_gateway_settings.cc
@@ -72,6 +72,7 @@
          return ParseNumber<std::uint32_t>(text, 1, kMostMemoryMb,
                                            settings.memory_mb);
        }},
+      {"host.processor_share", false, Into(ParseFraction, &S::processor_share)},
       {"listen.callers", true, Into(ParseEndpoint, &S::callers)},
       {"listen.readiness", true, Into(ParseEndpoint, &S::readiness)},
       {"listen.lookups", true, Into(ParseEndpoint, &S::lookups)},
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -11,9 +11,19 @@
 namespace comfreyvane {
 namespace {
 
-/// Time between heartbeats: three of them within the silence after which a
-/// host counts as gone.
-constexpr Duration kPeriod = std::chrono::milliseconds(500);
+/// Time between heartbeats to hosts of the region: three of them within the
+/// silence after which a host counts as gone.
+constexpr Duration kNearPeriod = std::chrono::milliseconds(500);
+
+/// Time between heartbeats to hosts of other regions. It grows with their
+/// number so that a host sends ten a second, up to a third of the silence after
+/// which such a host counts as gone.
+constexpr Duration kFarPeriodOfOne = std::chrono::milliseconds(100);
+constexpr Duration kFarPeriod = std::chrono::milliseconds(1500);
+
+/// Number of hosts in other regions up to which they are told of all servers,
+/// and not just of those in their region.
+constexpr std::size_t kFewFarHosts = 10;
 
 /// Time for which a limit that was short is asked for with each heartbeat.
 constexpr Duration kWantMemory = std::chrono::seconds(1);
@@ -27,9 +37,6 @@
 /// Tokens that are asked for at a time.
 constexpr std::uint32_t kWantedTokens = 8;
 
-/// Use that a peer told of counts for this long.
-constexpr Duration kUseMemory = std::chrono::milliseconds(1500);
-
 }  // namespace
 
 PeerLink::PeerLink(GatewayState& state,
@@ -50,11 +57,6 @@
   Receive();
 }
 
-void PeerLink::Stop() {
-  error_code ignored;
-  socket_.close(ignored);
-}
-
 void PeerLink::Receive() {
   socket_.async_receive_from(
       asio::buffer(received_), sender_,
@@ -94,10 +96,9 @@
     return;
   peer.incarnation = heartbeat.incarnation;
   peer.sequence = heartbeat.sequence;
-  peer.heard = now;
-  const std::vector<BackendUse> before = std::exchange(peer.use, heartbeat.use);
   context_.fleet.OnHeard(host, heartbeat.leaving, now);
-  TakeUse(before, now);
+  if (heartbeat.use)
+    context_.backends.OnPeerUse(use_.Replace(host, *heartbeat.use, now), now);
   for (const SuspectReport& suspect : heartbeat.suspects)
     context_.poison.OnPeerReport(suspect.fingerprint, suspect.count,
                                  host.value(), now);
@@ -108,23 +109,6 @@
   GiveTokens(heartbeat, now);
 }
 
-void PeerLink::TakeUse(const std::vector<BackendUse>& before, TimePoint now) {
-  std::map<BackendServerId, std::uint32_t> running;
-  for (const BackendUse& use : before)
-    running[use.server] = 0;
-  for (const auto& [host, peer] : peers_) {
-    if (now - peer.heard > kUseMemory)
-      continue;
-    for (const BackendUse& use : peer.use)
-      running[use.server] += use.running;
-  }
-  std::vector<BackendUse> all;
-  all.reserve(running.size());
-  for (const auto& [server, count] : running)
-    all.push_back({server, count});
-  context_.backends.OnPeerUse(all, now);
-}
-
 void PeerLink::GiveTokens(const Heartbeat& heartbeat, TimePoint now) {
   if (heartbeat.wanted.empty())
     return;
@@ -142,7 +126,7 @@
       continue;
     Heartbeat reply = Compose(now);
     reply.given = gift.given;
-    SendTo(host, reply);
+    SendTo(host, DatagramOf(reply));
   }
 }
 
@@ -162,32 +146,70 @@
     return;
   Heartbeat heartbeat = Compose(now);
   heartbeat.wanted.push_back({workspace, kWantedTokens});
+  const std::string datagram = DatagramOf(heartbeat);
   const std::vector<FleetHost> peers = context_.fleet.Peers();
   std::size_t abroad = 0;
   for (std::size_t i = 0; i < peers.size(); ++i) {
     const FleetHost& peer = peers[(sequence_ + i) % peers.size()];
-    if (peer.region == context_.settings.region || abroad++ < kAskedAbroad)
-      SendTo(peer, heartbeat);
+    if (context_.fleet.IsNear(peer) || abroad++ < kAskedAbroad)
+      SendTo(peer, datagram);
   }
 }
 
 void PeerLink::OnTick(TimePoint now) {
-  if (now >= next_beat_)
-    SendNow(now);
+  context_.backends.OnPeerUse(use_.Expire(now), now);
+  if (now >= next_near_)
+    SendNear(now);
+  if (now >= next_far_)
+    SendFar(now);
 }
 
 void PeerLink::SendNow(TimePoint now) {
-  next_beat_ = now + kPeriod;
+  SendNear(now);
+  SendFar(now);
+}
+
+void PeerLink::SendNear(TimePoint now) {
+  next_near_ = now + kNearPeriod;
   if (state_.fleet_secret().empty())
     return;
   std::erase_if(wanted_, [now](const auto& row) {
     return now - row.second.asked > kWantMemory;
   });
   Heartbeat heartbeat = Compose(now);
+  heartbeat.use = context_.backends.Use();
   for (const auto& [workspace, want] : wanted_)
     heartbeat.wanted.push_back({workspace, kWantedTokens});
-  for (const FleetHost& host : context_.fleet.Peers())
-    SendTo(host, heartbeat);
+  const std::string datagram = DatagramOf(heartbeat);
+  for (const FleetHost& host : context_.fleet.Peers()) {
+    if (context_.fleet.IsNear(host))
+      SendTo(host, datagram);
+  }
+}
+
+void PeerLink::SendFar(TimePoint now) {
+  std::vector<FleetHost> hosts = context_.fleet.Peers();
+  std::erase_if(hosts, [this](const FleetHost& host) {
+    return context_.fleet.IsNear(host);
+  });
+  next_far_ = now + std::clamp(kFarPeriodOfOne *
+                                   static_cast<Duration::rep>(hosts.size()),
+                               kNearPeriod, kFarPeriod);
+  if (state_.fleet_secret().empty())
+    return;
+  const bool tells_all = hosts.size() <= kFewFarHosts;
+  std::map<std::string, std::string> by_region;
+  for (const FleetHost& host : hosts) {
+    const auto [datagram, added] = by_region.try_emplace(host.region);
+    if (added) {
+      Heartbeat heartbeat = Compose(now);
+      heartbeat.use = tells_all
+                          ? context_.backends.Use()
+                          : context_.backends.UseIn(RegionId::Of(host.region));
+      datagram->second = DatagramOf(heartbeat);
+    }
+    SendTo(host, datagram->second);
+  }
 }
 
 Heartbeat PeerLink::Compose(TimePoint now) {
@@ -196,21 +218,25 @@
   heartbeat.incarnation = incarnation_;
   heartbeat.sequence = ++sequence_;
   heartbeat.leaving = context_.leaving;
-  heartbeat.configuration = context_.table ? context_.table->version() : 0;
-  heartbeat.use = context_.backends.Use();
   for (const PoisonGuard::Suspect& suspect : context_.poison.Suspects(now))
     heartbeat.suspects.push_back({suspect.fingerprint, suspect.count});
   return heartbeat;
 }
 
-void PeerLink::SendTo(const FleetHost& host, const Heartbeat& heartbeat) {
+std::string PeerLink::DatagramOf(const Heartbeat& heartbeat) const {
   const std::string text = HeartbeatText(heartbeat);
   const PeerAuthenticator authenticator(state_.fleet_secret());
-  const std::string datagram = authenticator.Sign("", text) + '\n' + text;
+  return authenticator.Sign("", text) + '\n' + text;
+}
+
+void PeerLink::SendTo(const FleetHost& host, const std::string& datagram) {
   error_code error;
   const auto address = asio::ip::make_address(host.peer_address, error);
-  if (error || datagram.size() > kDatagramBytes)
+  if (error || datagram.size() > kDatagramBytes) {
+    Log(LogLevel::kError, "heartbeat-not-sent",
+        {{"host", host.name}, {"bytes", datagram.size()}});
     return;
+  }
   socket_.send_to(asio::buffer(datagram), {address, host.peer_port}, 0, error);
   context_.metrics.Count(CounterName::kPeerCalls);
   context_.metrics.Count(CounterName::kBytesToPeers, datagram.size());
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -9,9 +9,8 @@
 #include <map>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
-#include "comfreyvane/edge/backend_use.h"
+#include "comfreyvane/edge/peer_use.h"
 #include "comfreyvane/gateway/gateway_context.h"
 #include "comfreyvane/gateway/gateway_state.h"
 #include "comfreyvane/gateway/heartbeat.h"
@@ -30,7 +29,6 @@
            std::uint64_t incarnation);
 
   void Start();
-  void Stop();
 
   /// Sends heartbeats if they are due.
   void OnTick(TimePoint now);
@@ -50,17 +48,20 @@
   struct Peer {
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
-    TimePoint heard{};
-    std::vector<BackendUse> use;
   };
 
   void Receive();
   void OnDatagram(std::string_view datagram, TimePoint now);
   void OnHeartbeat(const Heartbeat& heartbeat, TimePoint now);
-  void TakeUse(const std::vector<BackendUse>& before, TimePoint now);
   void GiveTokens(const Heartbeat& heartbeat, TimePoint now);
+  /// Sends heartbeats to the other hosts of the region.
+  void SendNear(TimePoint now);
+  /// Sends heartbeats to hosts of other regions.
+  void SendFar(TimePoint now);
+  /// @return a heartbeat that tells nothing of the use of servers.
   [[nodiscard]] Heartbeat Compose(TimePoint now);
-  void SendTo(const FleetHost& host, const Heartbeat& heartbeat);
+  [[nodiscard]] std::string DatagramOf(const Heartbeat& heartbeat) const;
+  void SendTo(const FleetHost& host, const std::string& datagram);
 
   GatewayState& state_;
   GatewayContext& context_;
@@ -69,8 +70,10 @@
   std::array<char, kDatagramBytes> received_{};
   std::uint64_t incarnation_;
   std::uint64_t sequence_ = 0;
-  TimePoint next_beat_{};
+  TimePoint next_near_{};
+  TimePoint next_far_{};
   std::unordered_map<HostId, Peer> peers_;
+  PeerUse use_;
   struct Want {
     TimePoint asked{};
     TimePoint received{};
--- /dev/null
+++ b/src/comfreyvane/gateway/relay_client.cc
@@ -0,0 +1,73 @@
+#include "comfreyvane/gateway/relay_client.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "comfreyvane/gateway/relay_codec.h"
+#include "comfreyvane/gateway/relay_header.h"
+#include "comfreyvane/log/log.h"
+#include "comfreyvane/net/clock.h"
+#include "comfreyvane/net/peer_authenticator.h"
+
+namespace comfreyvane {
+namespace {
+
+/// Time for an answer beyond its wait: many times that within a failure domain.
+constexpr Duration kMargin = std::chrono::milliseconds(400);
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kGone = 410;
+constexpr unsigned kServiceUnavailable = 503;
+
+}  // namespace
+
+asio::awaitable<RelayAnswer> RelayClient::Ask(FleetHost host, RelayCall call) {
+  HttpClient* const client = ClientOf(host);
+  if (client == nullptr)
+    co_return RelayAnswer{};
+  call.nonce = ++nonce_;
+  const PeerAuthenticator authenticator(state_.fleet_secret());
+  HttpCall request;
+  request.target = RelayTarget(call);
+  const std::string target = request.target;
+  request.fields = {{std::string(kRelayCodeHeader),
+                     authenticator.Sign(kRelayCallStamp, target)}};
+  const HttpCallResult result = co_await client->Call(
+      std::move(request), MonotonicNow() + call.wait + kMargin);
+  if (result.status != HttpCallStatus::kAnswered)
+    co_return RelayAnswer{};
+  if (result.http_status == kServiceUnavailable)
+    co_return RelayAnswer{RelayStatus::kNotFresh};
+  if (result.http_status == kGone)
+    co_return RelayAnswer{RelayStatus::kHistoryLost};
+  // The code stands on the first line of the body.
+  const auto end = result.body.find('\n');
+  if (result.http_status == kOk && end != std::string::npos) {
+    const std::string_view body(result.body);
+    const std::string_view text = body.substr(end + 1);
+    if (authenticator.Verify(target, text, body.substr(0, end))) {
+      if (auto answer = ParseRelayText(text))
+        co_return std::move(*answer);
+    }
+  }
+  Log(LogLevel::kWarning, "relay-answer-unreadable",
+      {{"host", host.name},
+       {"status", result.http_status},
+       {"bytes", result.body.size()}});
+  co_return RelayAnswer{};
+}
+
+HttpClient* RelayClient::ClientOf(const FleetHost& host) {
+  auto& client = clients_[host.id()];
+  error_code error;
+  const auto address = asio::ip::make_address(host.peer_address, error);
+  const tcp::endpoint endpoint(address, host.peer_port);
+  if (error)
+    return nullptr;
+  if (!client || client->server() != endpoint)
+    client = std::make_unique<HttpClient>(io_, sweeper_, endpoint);
+  return client.get();
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/relay_client.h
@@ -0,0 +1,46 @@
+/// @file
+/// Asks other hosts for changes of the store's tables.
+#ifndef COMFREYVANE_GATEWAY_RELAY_CLIENT_H_
+#define COMFREYVANE_GATEWAY_RELAY_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <unordered_map>
+
+#include "comfreyvane/edge/fleet_host.h"
+#include "comfreyvane/gateway/gateway_state.h"
+#include "comfreyvane/gateway/relay_answer.h"
+#include "comfreyvane/gateway/relay_call.h"
+#include "comfreyvane/net/async.h"
+#include "comfreyvane/net/http_client.h"
+
+namespace comfreyvane {
+
+/// Asks other hosts for changes of the store's tables. Calls and answers carry
+/// an authentication code under the fleet's secret.
+class RelayClient {
+ public:
+  /// @param first_nonce differs from one run of this host to the next.
+  RelayClient(GatewayState& state,
+              asio::io_context& io,
+              TimeoutSweeper& sweeper,
+              std::uint64_t first_nonce)
+      : state_(state), io_(io), sweeper_(sweeper), nonce_(first_nonce) {}
+
+  /// @param call its nonce is set here.
+  [[nodiscard]] asio::awaitable<RelayAnswer> Ask(FleetHost host,
+                                                 RelayCall call);
+
+ private:
+  [[nodiscard]] HttpClient* ClientOf(const FleetHost& host);
+
+  GatewayState& state_;
+  asio::io_context& io_;
+  TimeoutSweeper& sweeper_;
+  std::uint64_t nonce_;
+  std::unordered_map<HostId, std::unique_ptr<HttpClient>> clients_;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_GATEWAY_RELAY_CLIENT_H_
--- /dev/null
+++ b/src/comfreyvane/gateway/relay_codec.cc
@@ -0,0 +1,123 @@
+#include "comfreyvane/gateway/relay_codec.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+#include <charconv>
+#include <chrono>
+#include <exception>
+
+#include "comfreyvane/net/base64.h"
+
+namespace comfreyvane {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kPath = "/changes";
+
+/// Longest wait that a caller may ask for.
+constexpr std::uint64_t kMostWaitMs = 10'000;
+
+std::optional<std::uint64_t> NumberOf(std::string_view text) {
+  std::uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || stop != end)
+    return std::nullopt;
+  return number;
+}
+
+json::object FeedObject(const TableFeed& feed) {
+  json::array rows;
+  for (const TableRow& row : feed.rows) {
+    rows.push_back(json::array{EncodeBase64(row.key), EncodeBase64(row.value),
+                               row.revision.value()});
+  }
+  return json::object{{"position", feed.position.value()},
+                      {"rows", std::move(rows)}};
+}
+
+/// @throws std::exception if the value is none.
+std::string BytesOf(const json::value& value) {
+  return DecodeBase64(std::string_view(value.as_string())).value();
+}
+
+/// @throws std::exception if the object is none.
+TableFeed FeedOf(const json::object& object) {
+  TableFeed feed;
+  feed.status = TableStatus::kDone;
+  feed.position = Revision(object.at("position").to_number<std::uint64_t>());
+  for (const json::value& value : object.at("rows").as_array()) {
+    const json::array& row = value.as_array();
+    feed.rows.push_back({BytesOf(row.at(0)), BytesOf(row.at(1)),
+                         Revision(row.at(2).to_number<std::uint64_t>())});
+  }
+  return feed;
+}
+
+}  // namespace
+
+std::string RelayTarget(const RelayCall& call) {
+  const auto wait =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.wait);
+  std::string target = std::string(kPath) +
+                       "?nonce=" + std::to_string(call.nonce) +
+                       "&wait_ms=" + std::to_string(wait.count());
+  for (const Revision position : call.positions)
+    target += "&position=" + std::to_string(position.value());
+  return target;
+}
+
+std::optional<RelayCall> ParseRelayTarget(std::string_view target) {
+  const auto url = boost::urls::parse_origin_form(target);
+  if (!url || url->encoded_path() != kPath)
+    return std::nullopt;
+  RelayCall call;
+  std::size_t positions = 0;
+  for (const auto& parameter : url->params()) {
+    const auto number = NumberOf(parameter.value);
+    if (!number)
+      return std::nullopt;
+    if (parameter.key == "nonce")
+      call.nonce = *number;
+    else if (parameter.key == "wait_ms" && *number <= kMostWaitMs)
+      call.wait = std::chrono::milliseconds(*number);
+    else if (parameter.key == "position" && positions < kStoreTables)
+      call.positions[positions++] = Revision(*number);
+    else
+      return std::nullopt;
+  }
+  if (positions != kStoreTables)
+    return std::nullopt;
+  return call;
+}
+
+std::string RelayText(const RelayAnswer& answer) {
+  json::array feeds;
+  for (const TableFeed& feed : answer.feeds)
+    feeds.push_back(FeedObject(feed));
+  return json::serialize(feeds);
+}
+
+std::optional<RelayAnswer> ParseRelayText(std::string_view text) {
+  json::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_array() || value.get_array().size() != kStoreTables)
+    return std::nullopt;
+  RelayAnswer answer;
+  answer.status = RelayStatus::kDone;
+  try {
+    for (std::size_t i = 0; i < kStoreTables; ++i)
+      answer.feeds[i] = FeedOf(value.get_array()[i].as_object());
+  } catch (const std::exception&) {
+    // The caller counts and logs an unreadable answer.
+    return std::nullopt;
+  }
+  return answer;
+}
+
+}  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/gateway/relay_handler.h
@@ -0,0 +1,90 @@
+/// @file
+/// Passes changes of the store's tables on to other hosts.
+#ifndef COMFREYVANE_GATEWAY_RELAY_HANDLER_H_
+#define COMFREYVANE_GATEWAY_RELAY_HANDLER_H_
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <string>
+
+#include "comfreyvane/base/refusal.h"
+#include "comfreyvane/gateway/gateway_state.h"
+#include "comfreyvane/gateway/relay_codec.h"
+#include "comfreyvane/gateway/relay_header.h"
+#include "comfreyvane/log/log.h"
+#include "comfreyvane/net/async.h"
+#include "comfreyvane/net/peer_authenticator.h"
+
+namespace comfreyvane {
+
+/// Answers other hosts' calls for changes of the store's tables.
+/// @tparam Source with awaitable<RelayAnswer> PassOn(RelayCall).
+template <typename Source>
+class RelayHandler {
+ public:
+  using Answer = boost::beast::http::response<boost::beast::http::string_body>;
+
+  RelayHandler(GatewayState& state, Source& source)
+      : state_(state), source_(source) {}
+
+  template <typename Exchange>
+  [[nodiscard]] asio::awaitable<bool> Handle(Exchange& exchange) {
+    const std::string target(exchange.head().target());
+    const auto code = exchange.head()[kRelayCodeHeader];
+    Answer answer(boost::beast::http::status::forbidden, kHttp11);
+    const PeerAuthenticator authenticator(state_.fleet_secret());
+    const auto call =
+        !state_.fleet_secret().empty() &&
+                authenticator.Verify(kRelayCallStamp, target,
+                                     std::string_view(code.data(), code.size()))
+            ? ParseRelayTarget(target)
+            : std::nullopt;
+    if (call) {
+      const RelayAnswer changes = co_await source_.PassOn(*call);
+      answer.result(StatusOf(changes.status));
+      if (changes.status == RelayStatus::kDone) {
+        const std::string text = RelayText(changes);
+        answer.body() = authenticator.Sign(target, text) + '\n' + text;
+      }
+    } else {
+      Log(LogLevel::kWarning, "relay-call-refused", {{"target", target}});
+    }
+    const bool keep_alive = exchange.keep_alive() && exchange.body_done();
+    answer.keep_alive(keep_alive);
+    answer.prepare_payload();
+    co_return co_await exchange.WriteAnswer(answer) ==
+        ExchangeFailure::kNone&& keep_alive;
+  }
+
+  template <typename Exchange>
+  [[nodiscard]] asio::awaitable<void> Refuse(Exchange& exchange,
+                                             RefusalReason reason) {
+    Log(LogLevel::kWarning, "relay-call-refused", {{"reason", reason}});
+    exchange.Abort();
+    co_return;
+  }
+
+ private:
+  static constexpr unsigned kHttp11 = 11;
+
+  [[nodiscard]] static boost::beast::http::status StatusOf(RelayStatus status) {
+    using HttpStatus = boost::beast::http::status;
+    switch (status) {
+      case RelayStatus::kDone:
+        return HttpStatus::ok;
+      case RelayStatus::kHistoryLost:
+        return HttpStatus::gone;
+      case RelayStatus::kNotFresh:
+      case RelayStatus::kNoAnswer:
+        break;
+    }
+    return HttpStatus::service_unavailable;
+  }
+
+  GatewayState& state_;
+  Source& source_;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_GATEWAY_RELAY_HANDLER_H_
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_GATEWAY_STORE_FOLLOWER_H_
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,10 +19,14 @@
 #include <vector>
 
 #include "comfreyvane/base/random_source.h"
+#include "comfreyvane/edge/feed_log.h"
 #include "comfreyvane/edge/registry_tracker.h"
 #include "comfreyvane/gateway/dependency_watch.h"
 #include "comfreyvane/gateway/fleet_codec.h"
 #include "comfreyvane/gateway/gateway_state.h"
+#include "comfreyvane/gateway/relay_answer.h"
+#include "comfreyvane/gateway/relay_call.h"
+#include "comfreyvane/gateway/relay_client.h"
 #include "comfreyvane/gateway/store_table.h"
 #include "comfreyvane/net/async.h"
 #include "comfreyvane/net/clock.h"
@@ -32,7 +37,9 @@
 namespace comfreyvane {
 
 /// Follows the tables of the platform's store and puts what they say in force,
-/// and lists this host there.
+/// and lists this host there. One host of a failure domain follows the store
+/// itself and passes changes on to the others; when it has not heard from the
+/// store of late, the others follow the store themselves.
 /// @tparam Platform with a Store and the decoding of its rows.
 template <typename Platform>
 class StoreFollower {
@@ -41,17 +48,38 @@
 
   StoreFollower(GatewayState& state,
                 asio::io_context& io,
+                TimeoutSweeper& sweeper,
                 Store& store,
                 std::uint64_t seed)
-      : state_(state), io_(io), store_(store), random_(seed) {}
+      : state_(state),
+        io_(io),
+        store_(store),
+        random_(seed),
+        relays_(state, io, sweeper, seed) {}
 
   void Start() {
-    asio::co_spawn(io_, Follow(StoreTable::kOperator), asio::detached);
-    asio::co_spawn(io_, Follow(StoreTable::kBackends), asio::detached);
-    asio::co_spawn(io_, Follow(StoreTable::kHosts), asio::detached);
+    for (const StoreTable table : kAllStoreTables)
+      asio::co_spawn(io_, Follow(table), asio::detached);
+    asio::co_spawn(io_, FollowRelay(), asio::detached);
     asio::co_spawn(io_, ListSelf(), asio::detached);
   }
 
+  /// Answers another host's call for changes; waits for some as the call asks.
+  [[nodiscard]] asio::awaitable<RelayAnswer> PassOn(RelayCall call) {
+    const TimePoint give_up = MonotonicNow() + call.wait;
+    while (true) {
+      const TimePoint now = MonotonicNow();
+      asked_ = now;
+      RelayAnswer answer = ChangesSince(call, now);
+      const bool changed =
+          std::any_of(answer.feeds.begin(), answer.feeds.end(),
+                      [](const TableFeed& feed) { return !feed.rows.empty(); });
+      if (answer.status != RelayStatus::kDone || changed || now >= give_up)
+        co_return answer;
+      co_await PauseUntil(give_up, relay_waiters_);
+    }
+  }
+
   /// Ends all following; calls that run end by themselves.
   void Stop() { stopped_ = true; }
 
@@ -74,6 +102,25 @@
   /// Pause after a failed call; doubles with each in a row.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(400);
+  /// How long another host may hold a call for a change. Short, since a host
+  /// that died is noticed by it.
+  static constexpr Duration kRelayWait = std::chrono::milliseconds(1000);
+  /// How long the store may hold a call while other hosts follow it through
+  /// this one: its end shows that the store is still reached.
+  static constexpr Duration kRelayingWait = std::chrono::milliseconds(1000);
+  /// Age of the last answer of the store up to which changes are passed on: a
+  /// held call and its timeout.
+  static constexpr Duration kFresh = std::chrono::milliseconds(2200);
+  /// Time after another host's call in which it counts as following this one.
+  static constexpr Duration kFollowed = std::chrono::seconds(3);
+  /// Time after another host's answer in which the store is not called: a held
+  /// call and its timeout.
+  static constexpr Duration kRelayTrust = std::chrono::milliseconds(1500);
+  /// Time between looks for a host to follow the store through.
+  static constexpr Duration kRelayCheck = std::chrono::milliseconds(250);
+  /// Changes of a table that are kept for other hosts: many times those of one
+  /// held call.
+  static constexpr std::size_t kLogBytes = 1024 * 1024;
   /// Time between checks whether this host is listed.
   static constexpr Duration kListPause = std::chrono::milliseconds(1000);
   static constexpr std::string_view kSecretKey = "!secret";
@@ -84,8 +131,28 @@
     co_await timer.async_wait(kAwait);
   }
 
-  [[nodiscard]] static Duration WaitFor(StoreTable table) {
-    return table == StoreTable::kHosts ? kHostsWait : kWait;
+  using Timers = std::list<asio::steady_timer*>;
+
+  /// Waits until a time, or until the timers of the list are cancelled.
+  [[nodiscard]] asio::awaitable<void> PauseUntil(TimePoint until,
+                                                 Timers& timers) {
+    asio::steady_timer timer(io_);
+    timer.expires_after(until - MonotonicNow());
+    const auto place = timers.insert(timers.end(), &timer);
+    co_await timer.async_wait(kAwait);
+    timers.erase(place);
+  }
+
+  static void Wake(Timers& timers) {
+    for (asio::steady_timer* timer : timers)
+      timer->cancel();
+  }
+
+  [[nodiscard]] Duration WaitFor(StoreTable table, TimePoint now) const {
+    if (table == StoreTable::kHosts)
+      return kHostsWait;
+    const bool relays = now - asked_ < kFollowed;
+    return relays && table == StoreTable::kOperator ? kRelayingWait : kWait;
   }
 
   [[nodiscard]] Duration Jittered(Duration span) {
@@ -94,58 +161,130 @@
   }
 
   [[nodiscard]] asio::awaitable<void> Follow(StoreTable table) {
-    Revision position;
-    bool whole = true;
+    Progress& progress = progress_[IndexOf(table)];
     Duration pause = kFirstPause;
     while (!stopped_) {
       const TimePoint begun = MonotonicNow();
+      if (!progress.whole && begun < relayed_until_) {
+        co_await PauseUntil(relayed_until_, direct_waiters_);
+        continue;
+      }
+      const bool whole = progress.whole;
       TableFeed feed;
       if (whole)
         feed = co_await store_.Read(table);
       else
-        feed = co_await store_.Follow(table, position, WaitFor(table));
+        feed = co_await store_.Follow(table, progress.position,
+                                      WaitFor(table, begun));
       const TimePoint now = MonotonicNow();
       if (feed.history_lost) {
         Log(LogLevel::kWarning, "history-lost",
-            {{"table", static_cast<int>(table)}, {"position", position}});
-        whole = true;
+            {{"table", static_cast<int>(table)},
+             {"position", progress.position}});
+        progress.whole = true;
         continue;
       }
       if (feed.status != TableStatus::kDone) {
         OnFailure(feed.status, begun, now);
-        co_await PauseForRetry(Jittered(pause));
+        co_await PauseUntil(now + Jittered(pause), retries_);
         pause = std::min(2 * pause, kLongestPause);
         continue;
       }
       OnSuccess(now);
       pause = kFirstPause;
-      if (feed.position < position) {
+      if (feed.position < progress.position) {
         // Older than what is known: a read of the past.
         co_await Pause(kFirstPause);
         continue;
       }
       Take(table, feed, whole, now);
-      position = feed.position;
-      whole = false;
       if (!feed.rows.empty())
         co_await Pause(kBatchPause);
     }
   }
 
-  /// Waits before a repeat, or until another call succeeds.
-  [[nodiscard]] asio::awaitable<void> PauseForRetry(Duration span) {
-    asio::steady_timer timer(io_);
-    timer.expires_after(span);
-    const auto place = retries_.insert(retries_.end(), &timer);
-    co_await timer.async_wait(kAwait);
-    retries_.erase(place);
+  /// Follows the store through another host while there is one that serves.
+  [[nodiscard]] asio::awaitable<void> FollowRelay() {
+    FleetView& fleet = state_.context().fleet;
+    while (!stopped_) {
+      const TimePoint begun = MonotonicNow();
+      const auto host = fleet.RelayFor(begun);
+      if (!host || !MayFollowRelay()) {
+        SetRelay({});
+        co_await Pause(kRelayCheck);
+        continue;
+      }
+      RelayCall call{0, kRelayWait, {}};
+      for (std::size_t i = 0; i < kStoreTables; ++i)
+        call.positions[i] = progress_[i].position;
+      const RelayAnswer answer = co_await relays_.Ask(*host, call);
+      const TimePoint now = MonotonicNow();
+      if (answer.status != RelayStatus::kDone) {
+        LogRelayFailure(*host, answer.status);
+        fleet.OnRelayFailed(host->id(), now);
+        relayed_until_ = TimePoint{};
+        Wake(direct_waiters_);
+        continue;
+      }
+      SetRelay(host->name);
+      relayed_until_ = now + kRelayTrust;
+      TakeRelayed(answer, now);
+    }
   }
 
-  void OnSuccess(TimePoint now) {
-    if (watch_.failing()) {
-      for (asio::steady_timer* timer : retries_)
-        timer->cancel();
+  [[nodiscard]] bool MayFollowRelay() const {
+    return !state_.fleet_secret().empty() &&
+           std::none_of(
+               progress_.begin(), progress_.end(),
+               [](const Progress& progress) { return progress.whole; });
+  }
+
+  void TakeRelayed(const RelayAnswer& answer, TimePoint now) {
+    for (const StoreTable table : kAllStoreTables) {
+      const TableFeed& feed = answer.feeds[IndexOf(table)];
+      const Progress& progress = progress_[IndexOf(table)];
+      if (!progress.whole && feed.position >= progress.position)
+        Take(table, feed, false, now);
+    }
+  }
+
+  void SetRelay(const std::string& name) {
+    if (name == relay_)
+      return;
+    Log(LogLevel::kInfo, "relay-changed", {{"host", name}, {"before", relay_}});
+    relay_ = name;
+  }
+
+  void LogRelayFailure(const FleetHost& host, RelayStatus status) {
+    static constexpr std::string_view kReasons[] = {
+        "done", "not-fresh", "history-lost", "no-answer"};
+    Log(LogLevel::kWarning, "relay-lost",
+        {{"host", host.name},
+         {"reason", kReasons[static_cast<std::size_t>(status)]}});
+    state_.context().metrics.Count(CounterName::kPeerFailures);
+  }
+
+  /// @return changes after the positions of a call, if this host follows the
+  ///     store itself and has heard from it of late.
+  [[nodiscard]] RelayAnswer ChangesSince(const RelayCall& call,
+                                         TimePoint now) const {
+    RelayAnswer answer;
+    const bool fresh =
+        now >= relayed_until_ && !watch_.failing() && now - answered_ <= kFresh;
+    answer.status = fresh ? RelayStatus::kDone : RelayStatus::kNotFresh;
+    for (std::size_t i = 0; fresh && i < kStoreTables; ++i) {
+      auto feed = progress_[i].log.Since(call.positions[i]);
+      if (!feed)
+        return {RelayStatus::kHistoryLost};
+      answer.feeds[i] = std::move(*feed);
     }
+    return answer;
+  }
+
+  void OnSuccess(TimePoint now) {
+    answered_ = now;
+    if (watch_.failing())
+      Wake(retries_);
     watch_.OnSuccess(now);
   }
 
@@ -154,6 +293,7 @@
         "done", "conflict", "unavailable", "no-answer", "malformed"};
     watch_.OnFailure(kReasons[static_cast<std::size_t>(status)], now);
     backends_.OnStoreFailure(begun);
+    Wake(relay_waiters_);
     state_.context().metrics.Count(CounterName::kTableFailures);
   }
 
@@ -162,8 +302,17 @@
             bool whole,
             TimePoint now) {
     state_.context().metrics.Count(CounterName::kTableCalls);
-    if (whole)
+    Progress& progress = progress_[IndexOf(table)];
+    progress.position = feed.position;
+    progress.whole = false;
+    if (whole) {
+      progress.log.Restart(feed.position);
       DropMissing(table, feed, now);
+    } else {
+      progress.log.Add(feed);
+    }
+    if (!feed.rows.empty())
+      Wake(relay_waiters_);
     for (const TableRow& row : feed.rows)
       Apply(table, row, now);
     if (table == StoreTable::kHosts && (whole || !feed.rows.empty()))
@@ -297,14 +446,29 @@
     }
   }
 
+  /// How far a table is known.
+  struct Progress {
+    Revision position;
+    bool whole = true;  ///< All rows have to be read.
+    FeedLog log{kLogBytes};
+  };
+
   GatewayState& state_;
   asio::io_context& io_;
   Store& store_;
   RandomSource random_;
+  RelayClient relays_;
+  std::array<Progress, kStoreTables> progress_;
+  std::string relay_;          ///< Name of the host followed; empty: none.
+  TimePoint relayed_until_{};  ///< Until then the store is not called.
+  TimePoint answered_{};       ///< Last answer of the store.
+  TimePoint asked_{};          ///< Last call of another host.
   RegistryTracker backends_;
   DependencyWatch watch_{"store"};
   std::map<StoreTable, std::map<std::string, TableRow>> rows_;
-  std::list<asio::steady_timer*> retries_;  ///< That wait for a repeat.
+  Timers retries_;         ///< Of calls that wait for a repeat.
+  Timers direct_waiters_;  ///< While another host is followed.
+  Timers relay_waiters_;   ///< Of calls of other hosts.
   bool hosts_read_ = false;
   bool stopped_ = false;
 };
--- a/src/comfreyvane/gateway/store_table.h
+++ b/src/comfreyvane/gateway/store_table.h
@@ -3,6 +3,9 @@
 #ifndef COMFREYVANE_GATEWAY_STORE_TABLE_H_
 #define COMFREYVANE_GATEWAY_STORE_TABLE_H_
 
+#include <array>
+#include <cstddef>
+
 namespace comfreyvane {
 
 /// A table of the store.
@@ -12,6 +15,17 @@
   kHosts,     ///< The fleet's own hosts and its secret.
 };
 
+/// Number of tables.
+inline constexpr std::size_t kStoreTables = 3;
+
+inline constexpr std::array<StoreTable, kStoreTables> kAllStoreTables{
+    StoreTable::kOperator, StoreTable::kBackends, StoreTable::kHosts};
+
+/// @return the place of a table in arrays.
+[[nodiscard]] constexpr std::size_t IndexOf(StoreTable table) {
+  return static_cast<std::size_t>(table);
+}
+
 }  // namespace comfreyvane
 
 #endif  // COMFREYVANE_GATEWAY_STORE_TABLE_H_
--- /dev/null
+++ b/tests/comfreyvane/edge/feed_log_test.cc
@@ -0,0 +1,68 @@
+#include "comfreyvane/edge/feed_log.h"
+
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+
+namespace {
+
+TableFeed Change(const std::string& key, std::uint64_t revision) {
+  TableFeed feed;
+  feed.status = TableStatus::kDone;
+  feed.rows = {{key, "value", Revision(revision)}};
+  feed.position = Revision(revision);
+  return feed;
+}
+
+}  // namespace
+
+Test(feed_log, knows_nothing_before_the_first_read) {
+  const FeedLog log(1000);
+  cr_expect(!log.Since(Revision(0)));
+}
+
+Test(feed_log, gives_the_changes_after_a_position_in_order) {
+  FeedLog log(1000);
+  log.Restart(Revision(5));
+  log.Add(Change("a", 7));
+  log.Add(Change("b", 9));
+  const auto all = log.Since(Revision(5));
+  cr_assert(all && all->status == TableStatus::kDone);
+  cr_assert_eq(all->rows.size(), 2U);
+  cr_expect(all->rows[0].key == "a" && all->rows[1].key == "b");
+  cr_expect(all->position == Revision(9));
+  cr_expect_eq(log.Since(Revision(7))->rows.size(), 1U);
+  cr_expect(log.Since(Revision(9))->rows.empty());
+  cr_expect(log.Since(Revision(20))->rows.empty());
+  cr_expect(!log.Since(Revision(4)), "changes before the read are not known");
+}
+
+Test(feed_log, an_answer_without_changes_moves_the_position) {
+  FeedLog log(1000);
+  log.Restart(Revision(5));
+  TableFeed none;
+  none.position = Revision(8);
+  log.Add(none);
+  cr_expect(log.position() == Revision(8));
+  cr_expect(log.Since(Revision(5))->position == Revision(8));
+}
+
+Test(feed_log, forgets_the_oldest_changes_beyond_its_size) {
+  FeedLog log(3 * sizeof(TableRow));
+  log.Restart(Revision(1));
+  for (std::uint64_t revision = 2; revision <= 10; ++revision)
+    log.Add(Change("k", revision));
+  cr_expect(!log.Since(Revision(1)));
+  const auto latest = log.Since(Revision(9));
+  cr_assert(latest);
+  cr_expect_eq(latest->rows.size(), 1U);
+}
+
+Test(feed_log, a_new_read_makes_older_positions_unknown) {
+  FeedLog log(1000);
+  log.Restart(Revision(1));
+  log.Add(Change("a", 2));
+  log.Restart(Revision(6));
+  cr_expect(!log.Since(Revision(2)));
+  cr_expect(log.Since(Revision(6))->rows.empty());
+}
--- a/tests/comfreyvane/edge/fleet_view_test.cc
+++ b/tests/comfreyvane/edge/fleet_view_test.cc
@@ -68,6 +68,17 @@
   cr_expect(Names(addresses, "e2:80"));
 }
 
+Test(fleet_view, waits_longer_for_hosts_of_other_regions) {
+  FleetView view = ViewOfW1();
+  HearAll(view, kStart);
+  const auto later = kStart + milliseconds(3000);
+  const auto east = view.AddressesFor("east", "east-a", false, later);
+  cr_expect(east == std::vector<std::string>({"e1:80", "e2:80"}));
+  const auto gone =
+      view.AddressesFor("east", "east-a", false, kStart + milliseconds(4900));
+  cr_expect(gone == std::vector<std::string>({"w1:80"}));
+}
+
 Test(fleet_view, a_leaving_host_names_others_and_itself_only_if_alone) {
   FleetView view = ViewOfW1();
   HearAll(view, kStart);
@@ -106,3 +117,58 @@
   view.OnListed(kHosts, kStart);
   cr_expect(std::abs(view.Share(kStart) - 0.25) < 1e-9);
 }
+
+namespace {
+
+/// Three hosts of one failure domain and one of another.
+std::vector<FleetHost> HostsOfDomains() {
+  std::vector<FleetHost> hosts{
+      HostOf("a1", "west", "west-a"), HostOf("a2", "west", "west-a"),
+      HostOf("a3", "west", "west-a"), HostOf("b1", "west", "west-b")};
+  for (FleetHost& host : hosts)
+    host.processor_share = 0.1;
+  return hosts;
+}
+
+FleetView ViewOf(const FleetHost& self, const std::vector<FleetHost>& hosts) {
+  FleetView view(self);
+  view.OnListed(hosts, kStart);
+  for (const FleetHost& host : hosts)
+    view.OnHeard(host.id(), false, kStart);
+  return view;
+}
+
+}  // namespace
+
+Test(fleet_view, one_host_of_a_failure_domain_relays_the_store) {
+  std::vector<FleetHost> hosts = HostsOfDomains();
+  hosts[1].processor_share = 0.5;
+  for (const std::size_t i : {0, 2}) {
+    const auto relay = ViewOf(hosts[i], hosts).RelayFor(kStart);
+    cr_assert(relay);
+    cr_expect(relay->name == "a2", "the largest part of a processor");
+  }
+  cr_expect(!ViewOf(hosts[1], hosts).RelayFor(kStart), "it relays itself");
+  cr_expect(!ViewOf(hosts[3], hosts).RelayFor(kStart), "alone in its domain");
+}
+
+Test(fleet_view, hosts_agree_on_the_relay_among_equals) {
+  const std::vector<FleetHost> hosts = HostsOfDomains();
+  int relays = 0;
+  for (std::size_t i = 0; i < 3; ++i)
+    relays += ViewOf(hosts[i], hosts).RelayFor(kStart) ? 0 : 1;
+  cr_expect_eq(relays, 1);
+}
+
+Test(fleet_view, a_relay_that_fails_leaves_or_falls_silent_is_replaced) {
+  std::vector<FleetHost> hosts = HostsOfDomains();
+  hosts[1].processor_share = 0.5;
+  hosts[2].processor_share = 0.3;
+  FleetView view = ViewOf(hosts[0], hosts);
+  view.OnRelayFailed(hosts[1].id(), kStart);
+  cr_expect(view.RelayFor(kStart)->name == "a3");
+  cr_expect(view.RelayFor(kStart + seconds(1))->name == "a2", "tried again");
+  view.OnHeard(hosts[1].id(), true, kStart);
+  cr_expect(view.RelayFor(kStart + seconds(1))->name == "a3");
+  cr_expect(!view.RelayFor(kStart + seconds(2)), "all fell silent");
+}
--- a/tests/comfreyvane/gateway/fleet_codec_test.cc
+++ b/tests/comfreyvane/gateway/fleet_codec_test.cc
@@ -15,8 +15,8 @@
   heartbeat.incarnation = std::numeric_limits<std::uint64_t>::max();
   heartbeat.sequence = 7;
   heartbeat.leaving = true;
-  heartbeat.configuration = 12;
-  heartbeat.use = {{BackendServerId(1), 2}, {BackendServerId(3), 4}};
+  heartbeat.use =
+      std::vector<BackendUse>{{BackendServerId(1), 2}, {BackendServerId(3), 4}};
   heartbeat.suspects = {{5, 6}};
   heartbeat.wanted = {{WorkspaceId(7), 8}};
   heartbeat.given = {{WorkspaceId(9), 10}};
@@ -26,8 +26,8 @@
 }  // namespace
 
 Test(fleet_codec, carries_hosts) {
-  const FleetHost host{"edge-1",      "west",     "west-a",
-                       "10.0.0.1:80", "10.0.0.1", 83};
+  const FleetHost host{"edge-1",   "west", "west-a", "10.0.0.1:80",
+                       "10.0.0.1", 83,     0.5};
   cr_expect(ParseFleetHost(FleetHostText(host)) == host);
 }
 
@@ -39,15 +39,14 @@
 }
 
 Test(fleet_codec, refuses_texts_of_another_form) {
-  for (const char* text : {"", "{", "[]", "1", "{}", "{\"host\":1}",
-                           "{\"host\":\"a\",\"incarnation\":-1,\"sequence\":1,"
-                           "\"configuration\":1}",
-                           "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1.5,"
-                           "\"configuration\":1}",
-                           "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
-                           "\"configuration\":1,\"use\":[[1]]}",
-                           "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
-                           "\"configuration\":1,\"use\":[[1,5000000000]]}"}) {
+  for (const char* text :
+       {"", "{", "[]", "1", "{}", "{\"host\":1}",
+        "{\"host\":\"a\",\"incarnation\":-1,\"sequence\":1}",
+        "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1.5}",
+        "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
+        "\"use\":[[1]]}",
+        "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
+        "\"use\":[[1,5000000000]]}"}) {
     cr_expect(!ParseHeartbeat(text), "%s", text);
     cr_expect(!ParseFleetHost(text), "%s", text);
   }
--- /dev/null
+++ b/tests/comfreyvane/gateway/relay_codec_test.cc
@@ -0,0 +1,67 @@
+#include "comfreyvane/gateway/relay_codec.h"
+
+#include "comfreyvane/base/random_source.h"
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+
+namespace {
+
+RelayAnswer FullAnswer() {
+  RelayAnswer answer;
+  answer.status = RelayStatus::kDone;
+  for (std::size_t i = 0; i < kStoreTables; ++i) {
+    answer.feeds[i].status = TableStatus::kDone;
+    answer.feeds[i].position = Revision(40 + i);
+  }
+  answer.feeds[1].rows = {{"server-1", "{\"a\":\"\xff\x00\"}", Revision(41)},
+                          {std::string("g\0ne", 4), "", Revision()}};
+  return answer;
+}
+
+}  // namespace
+
+Test(relay_codec, carries_calls) {
+  const RelayCall call{7,
+                       std::chrono::milliseconds(900),
+                       {Revision(1), Revision(2), Revision(1ULL << 63U)}};
+  cr_expect(ParseRelayTarget(RelayTarget(call)) == call);
+}
+
+Test(relay_codec, refuses_other_targets) {
+  for (const char* target :
+       {"", "/", "changes", "/changes", "/changes?position=1",
+        "/changes?position=1&position=2&position=3&position=4",
+        "/changes?position=1&position=2&position=x",
+        "/changes?position=1&position=2&position=-3",
+        "/changes?wait_ms=99999999&position=1&position=2&position=3",
+        "/changes?other=1&position=1&position=2&position=3",
+        "/other?position=1&position=2&position=3"})
+    cr_expect(!ParseRelayTarget(target), "%s", target);
+}
+
+Test(relay_codec, carries_rows_of_any_bytes) {
+  cr_expect(ParseRelayText(RelayText(FullAnswer())) == FullAnswer());
+}
+
+Test(relay_codec, refuses_other_texts) {
+  for (const char* text :
+       {"", "{}", "[]", "[1,2,3]", "[{},{},{}]",
+        R"([{"position":1,"rows":[]},{"position":1,"rows":[]}])",
+        R"([{"position":1,"rows":[["!","",1]]},{"position":1,"rows":[]},)"
+        R"({"position":1,"rows":[]}])",
+        R"([{"position":-1,"rows":[]},{"position":1,"rows":[]},)"
+        R"({"position":1,"rows":[]}])"})
+    cr_expect(!ParseRelayText(text), "%s", text);
+}
+
+Test(relay_codec, survives_changed_bytes) {
+  const std::string text = RelayText(FullAnswer());
+  RandomSource random(1);
+  for (int i = 0; i < 5000; ++i) {
+    std::string changed = text;
+    changed[random.Below(changed.size())] =
+        static_cast<char>(random.Below(256));
+    static_cast<void>(ParseRelayText(changed));
+  }
+}
--- /dev/null
+++ b/tests/platform/deployment.h
@@ -0,0 +1,207 @@
+/// @file
+/// A deployment of gateways between stand-ins, on loopback.
+#ifndef TESTS_PLATFORM_DEPLOYMENT_H_
+#define TESTS_PLATFORM_DEPLOYMENT_H_
+
+#include <unistd.h>
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "comfreyvane/gateway/gateway_process.h"
+#include "platform/gateway_platform.h"
+#include "platform/server_standin.h"
+#include "platform/store_standin.h"
+#include "support/criterion.h"
+#include "support/loopback_edge.h"
+
+namespace comfreyvane::testing {
+
+inline const char* const kConfiguration =
+    R"({"Version":"00000001","Resources":[)"
+    R"({"ResourceKind":"Routes","Metadata":{"Name":"reads"},"Spec":{)"
+    R"("Host":"h","Prefix":"/r/","Kind":"idempotent","TimeoutMs":2000,)"
+    R"("TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":2}},)"
+    R"({"ResourceKind":"Routes","Metadata":{"Name":"writes"},"Spec":{)"
+    R"("Host":"h","Prefix":"/w/","Kind":"non_idempotent","TimeoutMs":2000,)"
+    R"("TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":2}},)"
+    R"({"ResourceKind":"Services","Metadata":{"Name":"s"},"Spec":{)"
+    R"("HealthPath":"/health","MaxConnections":330,"ColdStartS":3.0,)"
+    R"("ColdPerS":8.9}},{"ResourceKind":"Tenants","Metadata":{"Name":"kandy"},)"
+    R"("Spec":{"ApiKeys":["k1"],"RatePerS":1000,"Burst":1000}}]})";
+
+/// A free port for tests that run side by side.
+inline std::uint16_t FreePort() {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+/// A stand-in behind a listener on loopback.
+template <typename Handler>
+struct Served {
+  Served(asio::io_context& io, TimeoutSweeper& sweeper, Handler& handler)
+      : listener(io,
+                 {asio::ip::address_v4::loopback(), 0},
+                 PortSharing::kExclusive,
+                 nullptr,
+                 sweeper,
+                 HttpLimits{},
+                 handler) {
+    listener.Start();
+  }
+  CallerListener<Handler> listener;
+};
+
+/// Two backend servers and a store on one thread, and gateways of one failure
+/// domain, each on its own.
+class Deployment {
+ public:
+  explicit Deployment(std::size_t gateways = 1)
+      : sweeper_(io_),
+        store(io_),
+        first(io_, "i-1"),
+        second(io_, "i-2"),
+        store_(io_, sweeper_, store),
+        first_(io_, sweeper_, first),
+        second_(io_, sweeper_, second) {
+    sweeper_.Start();
+    store.Put("op", "config", kConfiguration);
+    store.Put("servers", "i-1", Entry(first_.listener.local_endpoint()));
+    store.Put("servers", "i-2", Entry(second_.listener.local_endpoint()));
+    store.Put("servers", "foreign", "{\"Address\":7}");
+    standins_thread_ = std::thread([this] { io_.run(); });
+    for (std::size_t i = 0; i < gateways; ++i)
+      StartGateway(i);
+    for (std::size_t i = 0; i < gateways; ++i)
+      WaitUntilServing(i);
+  }
+  ~Deployment() {
+    for (const auto& running : gateways_)
+      running->gateway.Stop();
+    for (const auto& running : gateways_)
+      running->Join();
+    io_.stop();
+    standins_thread_.join();
+  }
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+
+  [[nodiscard]] std::string Ask(const Endpoint& endpoint,
+                                const std::string& text) {
+    RawClient client(
+        tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
+    client.Send(text);
+    return client.ReceiveAll();
+  }
+
+  [[nodiscard]] std::string Request(const std::string& path,
+                                    const std::string& id,
+                                    const std::string& key = "k1",
+                                    std::size_t gateway = 0) {
+    const bool writes = path.starts_with("/w/");
+    return Ask(settings(gateway).callers,
+               (writes ? "POST " : "GET ") + path +
+                   " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+                   "\r\nX-Deadline-Ms: 1500\r\nX-Tenant: forged\r\n" +
+                   "Authorization: Bearer " + key +
+                   "\r\nConnection: close\r\n" +
+                   (writes ? "Content-Length: 2\r\n\r\nhi" : "\r\n"));
+  }
+
+  /// Runs a function on the stand-ins' thread.
+  void OnStandins(const std::function<void()>& change) {
+    std::promise<void> done;
+    asio::post(io_, [&] {
+      change();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  /// Tells a gateway to stop and waits until it has.
+  void StopGateway(std::size_t gateway) {
+    gateways_[gateway]->gateway.Stop();
+    gateways_[gateway]->Join();
+  }
+
+  [[nodiscard]] const GatewaySettings& settings(std::size_t gateway = 0) const {
+    return gateways_[gateway]->settings;
+  }
+
+ private:
+  using Gateway = GatewayProcess<platform::GatewayPlatform>;
+
+  struct RunningGateway {
+    RunningGateway(GatewaySettings wanted, std::uint64_t incarnation)
+        : settings(std::move(wanted)),
+          gateway(settings, "/dev/null", incarnation, output),
+          thread([this] { gateway.Run(); }) {}
+    void Join() {
+      if (thread.joinable())
+        thread.join();
+    }
+
+    GatewaySettings settings;
+    BoundedOutput output{STDERR_FILENO, 1024};
+    Gateway gateway;
+    std::thread thread;
+  };
+
+  void StartGateway(std::size_t number) {
+    GatewaySettings settings;
+    settings.name = "edge-" + std::to_string(number + 1);
+    settings.failure_domain = "west-a";
+    settings.region = "west";
+    settings.domains = {{"west-a", "west"}};
+    // The first gateway relays the store to the others.
+    settings.processor_share = 1.0 / static_cast<double>(number + 1);
+    for (Endpoint* endpoint : {&settings.callers, &settings.readiness,
+                               &settings.lookups, &settings.peers})
+      *endpoint = {"127.0.0.1", FreePort()};
+    settings.platform = {"127.0.0.1", store_.listener.local_endpoint().port()};
+    gateways_.push_back(std::make_unique<RunningGateway>(settings, number + 1));
+  }
+
+  [[nodiscard]] static std::string Entry(const tcp::endpoint& endpoint) {
+    return R"({"Address":"127.0.0.1:)" + std::to_string(endpoint.port()) +
+           R"(","Info":{"Service":"s","Version":"v1","Zone":"west-a",)"
+           R"("Slots":8},"Status":{"State":"ready","Seq":1,)"
+           R"("ColdRemainingMs":0},"born":1})";
+  }
+
+  void WaitUntilServing(std::size_t gateway) {
+    constexpr int kMostTries = 500;
+    for (int i = 0; i < kMostTries; ++i) {
+      const std::string answer =
+          Request("/r/ok", "probe" + std::to_string(i), "k1", gateway);
+      if (answer.starts_with("HTTP/1.1 200"))
+        return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    cr_assert(false, "the gateway does not serve");
+  }
+
+  asio::io_context io_{1};
+  TimeoutSweeper sweeper_;
+
+ public:
+  StoreStandin store;
+  ServerStandin first;
+  ServerStandin second;
+
+ private:
+  Served<StoreStandin> store_;
+  Served<ServerStandin> first_;
+  Served<ServerStandin> second_;
+  std::vector<std::unique_ptr<RunningGateway>> gateways_;
+  std::thread standins_thread_;
+};
+
+}  // namespace comfreyvane::testing
+
+#endif  // TESTS_PLATFORM_DEPLOYMENT_H_
--- /dev/null
+++ b/tests/platform/relay_process_test.cc
@@ -0,0 +1,107 @@
+/// @file
+/// Gateways of one failure domain that follow the store through one of them.
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "platform/deployment.h"
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+using namespace comfreyvane::testing;
+
+namespace {
+
+bool Eventually(const std::function<bool()>& holds) {
+  constexpr int kMostTries = 1000;
+  for (int i = 0; i < kMostTries; ++i) {
+    if (holds())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+bool FollowsThroughOne(Deployment& deployment) {
+  return Eventually([&] {
+    int held = 0;
+    deployment.OnStandins([&] { held = deployment.store.held["servers"]; });
+    return held == 1;
+  });
+}
+
+/// Puts a configuration in which the reads have another path.
+void Configure(Deployment& deployment,
+               const std::string& version,
+               const std::string& path) {
+  std::string text = kConfiguration;
+  text.replace(text.find("00000001"), version.size(), version);
+  text.replace(text.find("/r/"), 3, path);
+  deployment.OnStandins([&] { deployment.store.Put("op", "config", text); });
+}
+
+bool Serves(Deployment& deployment,
+            std::size_t gateway,
+            const std::string& path) {
+  return Eventually([&, id = 0]() mutable {
+    return deployment
+        .Request(path + "ok", path + std::to_string(++id), "k1", gateway)
+        .starts_with("HTTP/1.1 200");
+  });
+}
+
+std::string AskForChanges(Deployment& deployment, const std::string& fields) {
+  return deployment.Ask(
+      deployment.settings().peers,
+      "GET /changes?nonce=1&wait_ms=0&position=0&position=0&position=0 "
+      "HTTP/1.1\r\nHost: h\r\n" +
+          fields + "Connection: close\r\n\r\n");
+}
+
+}  // namespace
+
+Test(relay_process, changes_reach_a_host_through_another, .timeout = 60) {
+  Deployment deployment(2);
+  cr_assert(FollowsThroughOne(deployment));
+  Configure(deployment, "00000002", "/q/");
+  cr_expect(Serves(deployment, 0, "/q/"));
+  cr_expect(Serves(deployment, 1, "/q/"));
+  cr_expect(FollowsThroughOne(deployment));
+}
+
+Test(relay_process,
+     a_host_follows_the_store_when_its_relay_stops,
+     .timeout = 60) {
+  Deployment deployment(2);
+  cr_assert(FollowsThroughOne(deployment));
+  deployment.StopGateway(0);
+  Configure(deployment, "00000002", "/q/");
+  cr_expect(Serves(deployment, 1, "/q/"));
+}
+
+Test(relay_process,
+     a_host_reads_anew_when_its_relay_and_it_were_cut_off,
+     .timeout = 60) {
+  Deployment deployment(2);
+  cr_assert(FollowsThroughOne(deployment));
+  deployment.OnStandins([&] { deployment.store.faults.status = 503; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  Configure(deployment, "00000002", "/q/");
+  deployment.OnStandins([&] {
+    deployment.store.faults = {};
+    deployment.store.faults.history_lost = true;
+  });
+  cr_expect(Serves(deployment, 0, "/q/"));
+  cr_expect(Serves(deployment, 1, "/q/"));
+}
+
+Test(relay_process, strangers_get_no_changes, .timeout = 60) {
+  Deployment deployment;
+  const std::string plain = AskForChanges(deployment, "");
+  cr_expect(plain.starts_with("HTTP/1.1 403"), "%s", plain.c_str());
+  const std::string forged = AskForChanges(
+      deployment, "X-Comfreyvane-Code: " + std::string(64, 'a') + "\r\n");
+  cr_expect(forged.starts_with("HTTP/1.1 403"), "%s", forged.c_str());
+  cr_expect(forged.find("k1") == std::string::npos);
+}
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -33,6 +33,7 @@
   };
   Faults faults;
   int calls = 0;
+  std::map<std::string, int> held;  ///< Calls that wait for a change, by table.
 
   void Put(const std::string& table,
            const std::string& key,
@@ -71,7 +72,7 @@
     else if (std::exchange(faults.history_lost, false))
       answer.result(410);
     else
-      answer.body() = co_await Changes(query);
+      answer.body() = co_await HeldChanges(query);
     if (faults.lose_answers) {
       exchange.Abort();
       co_return false;
@@ -152,6 +153,14 @@
     return Answer(RowsAfter(table, 0, false));
   }
 
+  asio::awaitable<std::string> HeldChanges(
+      std::map<std::string, std::string> query) {
+    ++held[query["Table"]];
+    std::string answer = co_await Changes(query);
+    --held[query["Table"]];
+    co_return answer;
+  }
+
   asio::awaitable<std::string> Changes(
       std::map<std::string, std::string> query) {
     const std::uint64_t after = std::stoull(query["after"]);
