Pool the limits of workspaces within a failure domain

Change: each host moves tokens that its requests have no use for to one host of its failure domain, which gives them to those that are short and trades with the pools of other domains. Shares stay fixed and tokens only move, so the bound holds without any agreement. A bucket that nothing asks for holds no more than its share of the burst; before, 65 of them could hold one token each.

Tests: workspace_limiter plays 66 hosts in 6 domains with losses against the bound and against in-rate refusals; fleet_view, fleet_codec.

--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -79,6 +79,18 @@
   return peers;
 }
 
+std::optional<FleetHost> FleetView::Find(HostId host) const {
+  const auto found = hosts_.find(host);
+  return found == hosts_.end() ? std::nullopt
+                               : std::optional(found->second.host);
+}
+
+bool FleetView::IsOfDomain(HostId host) const {
+  const auto found = hosts_.find(host);
+  return found != hosts_.end() &&
+         found->second.host.failure_domain == self_.failure_domain;
+}
+
 bool FleetView::IsServing(const Member& member, TimePoint now) const {
   if (member.leaving)
     return false;
@@ -128,16 +140,25 @@
   return addresses;
 }
 
-std::optional<FleetHost> FleetView::RelayFor(TimePoint now) const {
+template <typename Accepts>
+const FleetHost& FleetView::FirstOfDomain(TimePoint now,
+                                          Accepts accepts) const {
   const FleetHost* first = &self_;
   for (const auto& [id, member] : hosts_) {
     if (id != self_.id() &&
         member.host.failure_domain == self_.failure_domain &&
-        IsServing(member, now) && now >= member.no_relay_until &&
+        IsServing(member, now) && accepts(member) &&
         RanksBefore(member.host, *first))
       first = &member.host;
   }
-  return first == &self_ ? std::nullopt : std::optional(*first);
+  return *first;
+}
+
+std::optional<FleetHost> FleetView::RelayFor(TimePoint now) const {
+  const FleetHost& first = FirstOfDomain(now, [now](const Member& member) {
+    return now >= member.no_relay_until;
+  });
+  return first.id() == self_.id() ? std::nullopt : std::optional(first);
 }
 
 void FleetView::OnRelayFailed(HostId host, TimePoint now) {
@@ -146,6 +167,40 @@
     found->second.no_relay_until = now + kRelayHold;
 }
 
+bool FleetView::PoolsLimits(TimePoint now) const {
+  return Pool(now).id() == self_.id();
+}
+
+FleetHost FleetView::Pool(TimePoint now) const {
+  return FirstOfDomain(now, [](const Member&) { return true; });
+}
+
+std::vector<FleetHost> FleetView::OtherPools(TimePoint now) const {
+  std::map<std::string, const FleetHost*> by_domain;
+  for (const auto& [id, member] : hosts_) {
+    if (member.host.failure_domain == self_.failure_domain ||
+        !IsServing(member, now))
+      continue;
+    const FleetHost*& first = by_domain[member.host.failure_domain];
+    if (first == nullptr || RanksBefore(member.host, *first))
+      first = &member.host;
+  }
+  std::vector<FleetHost> pools;
+  for (const auto& [domain, host] : by_domain)
+    pools.push_back(*host);
+  return pools;
+}
+
+double FleetView::SharesOfDomain() const {
+  const auto others =
+      std::count_if(hosts_.begin(), hosts_.end(), [this](const auto& row) {
+        return row.first != self_.id() &&
+               row.second.host.failure_domain == self_.failure_domain;
+      });
+  return static_cast<double>(others) /
+         static_cast<double>(std::max<std::size_t>(1, hosts_.size()));
+}
+
 double FleetView::Share(TimePoint now) const {
   const auto found = hosts_.find(self_.id());
   if (found == hosts_.end())
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -32,6 +32,12 @@
   /// @return all other hosts that are listed.
   [[nodiscard]] std::vector<FleetHost> Peers() const;
 
+  /// @return a host that is listed, or nothing.
+  [[nodiscard]] std::optional<FleetHost> Find(HostId host) const;
+
+  /// @return whether a host is listed in the failure domain of this one.
+  [[nodiscard]] bool IsOfDomain(HostId host) const;
+
   /// @return whether a host is in the region of this one: those tell each other
   ///     more, and more often.
   [[nodiscard]] bool IsNear(const FleetHost& host) const {
@@ -60,6 +66,18 @@
   /// it for a while.
   void OnRelayFailed(HostId host, TimePoint now);
 
+  /// @return whether this host pools the limits of its failure domain.
+  [[nodiscard]] bool PoolsLimits(TimePoint now) const;
+
+  /// @return the host that pools the limits of this host's failure domain.
+  [[nodiscard]] FleetHost Pool(TimePoint now) const;
+
+  /// @return the other hosts that pool the limits of a failure domain.
+  [[nodiscard]] std::vector<FleetHost> OtherPools(TimePoint now) const;
+
+  /// @return the sum of the shares of the other hosts of this failure domain.
+  [[nodiscard]] double SharesOfDomain() const;
+
   /// @return this host's part of what all hosts share, 0 to 1.
   [[nodiscard]] double Share(TimePoint now) const;
 
@@ -81,6 +99,12 @@
 
   [[nodiscard]] bool IsServing(const Member& member, TimePoint now) const;
 
+  /// @return the first, in the order that all hosts agree on, of this host and
+  ///     the others of its failure domain that serve and are accepted.
+  template <typename Accepts>
+  [[nodiscard]] const FleetHost& FirstOfDomain(TimePoint now,
+                                               Accepts accepts) const;
+
   FleetHost self_;
   bool read_ = false;
   std::map<HostId, Member> hosts_;
--- a/src/comfreyvane/edge/workspace_limiter.cc
+++ b/src/comfreyvane/edge/workspace_limiter.cc
@@ -7,16 +7,23 @@
 namespace {
 
 /// Parts of the tolerance; see the class.
-constexpr double kRatePart = 0.5;
 constexpr double kCapacityPart = 0.6;
 constexpr double kFirstPart = 0.4;
 
-/// Least capacity of a bucket, so that a small share still lets one request
-/// through at a time.
+/// Least capacity of a bucket that requests ask for, so that a small share
+/// still lets one through at a time.
 constexpr double kLeastCapacity = 1.0;
 
-/// Part of its tokens that a host gives to another at most.
-constexpr double kGivenPart = 0.5;
+/// Time for whose tokens a bucket has room before they are pooled: the period of
+/// PeerLink's transfers and some delay.
+constexpr Duration kTransferTime = std::chrono::milliseconds(300);
+
+/// Time after a request in which its workspace counts as in demand: that
+/// between two transfers to the pool.
+constexpr Duration kDemandTime = std::chrono::milliseconds(500);
+
+/// Tokens below this are not worth a message.
+constexpr double kLeastSpare = 0.02;
 
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 
@@ -36,24 +43,28 @@
     const auto found = buckets_.find(id);
     if (found != buckets_.end()) {
       Refill(found->second, now);
-      bucket.tokens = std::min(found->second.tokens, Capacity(bucket));
+      bucket.asked = found->second.asked;
+      bucket.tokens = std::min(found->second.tokens, Capacity(bucket, now));
     } else {
-      bucket.tokens = share_ * FirstTokens(bucket);
+      bucket.tokens = role_.share * FirstTokens(bucket);
     }
     next.emplace(id, bucket);
   }
   buckets_ = std::move(next);
 }
 
-void WorkspaceLimiter::SetShare(double share, TimePoint now) {
+void WorkspaceLimiter::SetRole(const LimitRole& role, TimePoint now) {
   for (auto& [id, bucket] : buckets_)
     Refill(bucket, now);
-  const double grown = share - share_;
-  share_ = share;
+  const double grown = role.share - role_.share;
+  const bool pooled_before = role_.pools;
+  role_ = role;
   for (auto& [id, bucket] : buckets_) {
     if (grown > 0)
       bucket.tokens += grown * FirstTokens(bucket);
-    bucket.tokens = std::min(bucket.tokens, Capacity(bucket));
+    // What a former pool holds goes to the new one.
+    if (role.pools || !pooled_before)
+      bucket.tokens = std::min(bucket.tokens, Capacity(bucket, now));
   }
 }
 
@@ -63,6 +74,7 @@
     return true;
   Bucket& bucket = found->second;
   Refill(bucket, now);
+  bucket.asked = now;
   if (bucket.tokens < 1.0)
     return false;
   bucket.tokens -= 1.0;
@@ -73,32 +85,51 @@
   Receive(workspace, 1, now);
 }
 
-std::uint32_t WorkspaceLimiter::TakeForPeer(WorkspaceId workspace,
-                                            std::uint32_t wanted,
-                                            TimePoint now) {
+double WorkspaceLimiter::TakeForPeer(WorkspaceId workspace,
+                                     double wanted,
+                                     double part,
+                                     TimePoint now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end() || found->second.rate <= 0)
-    return 0;
+    return 0.0;
   Bucket& bucket = found->second;
   Refill(bucket, now);
-  const auto spare = static_cast<std::uint32_t>(
-      std::max(0.0, std::floor(bucket.tokens * kGivenPart)));
-  const std::uint32_t given = std::min(spare, wanted);
+  const double given = std::floor(std::min(bucket.tokens * part, wanted));
   bucket.tokens -= given;
   return given;
 }
 
+std::vector<WorkspaceTokens> WorkspaceLimiter::TakeSpare(TimePoint now) {
+  std::vector<WorkspaceTokens> all;
+  if (role_.pools)
+    return all;
+  for (auto& [id, bucket] : buckets_) {
+    if (bucket.rate <= 0)
+      continue;
+    Refill(bucket, now);
+    const double spare =
+        bucket.tokens - (InDemand(bucket, now) ? kLeastCapacity : 0.0);
+    if (spare < kLeastSpare)
+      continue;
+    bucket.tokens -= spare;
+    all.push_back({id, spare});
+  }
+  return all;
+}
+
 void WorkspaceLimiter::Receive(WorkspaceId workspace,
-                               std::uint32_t tokens,
+                               double tokens,
                                TimePoint now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end())
     return;
   Bucket& bucket = found->second;
   Refill(bucket, now);
-  // Received tokens may exceed this host's share of the burst: the giver holds
-  // as many fewer.
-  bucket.tokens = std::min(bucket.tokens + tokens, Capacity(bucket) + tokens);
+  // Outside a pool, tokens that were asked for may exceed the capacity for the
+  // short time until they are used or pooled again.
+  const double most = Capacity(bucket, now) + (role_.pools ? 1.0 : tokens);
+  bucket.tokens =
+      std::max(bucket.tokens, std::min(bucket.tokens + tokens, most));
 }
 
 Duration WorkspaceLimiter::UntilToken(WorkspaceId workspace,
@@ -110,16 +141,25 @@
   const double missing = 1.0 - TokensAt(bucket, now);
   if (missing <= 0)
     return Duration::zero();
-  const double rate = RateHere(bucket);
+  const double rate = role_.share * bucket.rate;
   if (rate <= 0)
     return kLongestWait;
   const std::chrono::duration<double> wait(missing / rate);
   return std::min(kLongestWait, std::chrono::duration_cast<Duration>(wait));
 }
 
-double WorkspaceLimiter::Capacity(const Bucket& bucket) const {
+double WorkspaceLimiter::Capacity(const Bucket& bucket, TimePoint now) const {
   const double all = bucket.burst + kCapacityPart * tolerance_.slack;
-  return std::max(kLeastCapacity, share_ * all);
+  const double between = std::min(all, bucket.rate * Seconds(kTransferTime));
+  const double capacity =
+      role_.pools ? role_.share * all + role_.pooled * (all - between)
+                  : role_.share * between;
+  const double least = InDemand(bucket, now) ? kLeastCapacity : 0.0;
+  return std::max(least, capacity);
+}
+
+bool WorkspaceLimiter::InDemand(const Bucket& bucket, TimePoint now) {
+  return bucket.asked != TimePoint{} && now - bucket.asked < kDemandTime;
 }
 
 double WorkspaceLimiter::FirstTokens(const Bucket& bucket) const {
@@ -128,16 +168,12 @@
                                               Seconds(tolerance_.window));
 }
 
-double WorkspaceLimiter::RateHere(const Bucket& bucket) const {
-  return share_ * bucket.rate * (1.0 + kRatePart * tolerance_.overage);
-}
-
 double WorkspaceLimiter::TokensAt(const Bucket& bucket, TimePoint now) const {
   if (now <= bucket.updated)
     return bucket.tokens;
   const double refilled =
-      bucket.tokens + bucket.rate * share_ * Seconds(now - bucket.updated);
-  return std::max(bucket.tokens, std::min(refilled, Capacity(bucket)));
+      bucket.tokens + bucket.rate * role_.share * Seconds(now - bucket.updated);
+  return std::max(bucket.tokens, std::min(refilled, Capacity(bucket, now)));
 }
 
 void WorkspaceLimiter::Refill(Bucket& bucket, TimePoint now) {
--- a/src/comfreyvane/edge/workspace_limiter.h
+++ b/src/comfreyvane/edge/workspace_limiter.h
@@ -25,14 +25,39 @@
                          const LimitTolerance&) = default;
 };
 
+/// This host's part in the limits of the fleet.
+struct LimitRole {
+  double share = 0.0;  ///< This host's share of each limit, 0 to 1.
+  /// Sum of the shares of the hosts whose spare tokens this one keeps.
+  double pooled = 0.0;
+  bool pools = true;  ///< Keeps its own spare tokens, and those of others.
+
+  friend bool operator==(const LimitRole&, const LimitRole&) = default;
+};
+
+/// Tokens of a workspace.
+struct WorkspaceTokens {
+  WorkspaceId workspace;
+  double tokens = 0.0;
+
+  friend bool operator==(const WorkspaceTokens&,
+                         const WorkspaceTokens&) = default;
+};
+
 /// Token buckets by workspace that hold this host's share of each limit. The
 /// shares of all hosts sum to at most one, so the sum over hosts keeps the
 /// limit without a message on a request's way. Tokens can move between hosts:
 /// the giver takes them out before it sends them.
 ///
+/// With many hosts a share is a small part of a request. So one host of each
+/// failure domain pools the tokens that the others have no use for, and gives
+/// them to those that are short. Most of what the buckets may hold is then at
+/// the pools. A bucket may always fill up to one token while requests ask for
+/// it, since its host may be cut off from the pool.
+///
 /// The tolerance is spent so that the bound holds also when all hosts restart
-/// in a window: half of the overage on the rate, part of the slack on the
-/// capacity of buckets, the rest on what new buckets hold.
+/// in a window: part of the slack on the capacity of buckets, the rest and the
+/// overage on what new buckets hold and on pools that change hands.
 class WorkspaceLimiter {
  public:
   explicit WorkspaceLimiter(const LimitTolerance& tolerance)
@@ -43,8 +68,7 @@
   /// limit fell gives up what is over it.
   void Configure(const std::vector<EdgeWorkspace>& workspaces, TimePoint now);
 
-  /// Sets this host's part of each limit, 0 to 1.
-  void SetShare(double share, TimePoint now);
+  void SetRole(const LimitRole& role, TimePoint now);
 
   /// Takes a token for a request that is about to run.
   /// @return false if the workspace is at its limit here.
@@ -53,19 +77,25 @@
   /// Returns the token of a request that has not run.
   void Return(WorkspaceId workspace, TimePoint now);
 
-  /// Takes out tokens for another host: at most half of what is here.
-  /// @return tokens taken, in whole requests.
-  [[nodiscard]] std::uint32_t TakeForPeer(WorkspaceId workspace,
-                                          std::uint32_t wanted,
-                                          TimePoint now);
+  /// Takes out tokens for another host.
+  /// @param part of the tokens that are here which may be taken, 0 to 1.
+  /// @return tokens taken, a whole number.
+  [[nodiscard]] double TakeForPeer(WorkspaceId workspace,
+                                   double wanted,
+                                   double part,
+                                   TimePoint now);
+
+  /// Takes out the tokens that recent requests have no use for, to be pooled.
+  [[nodiscard]] std::vector<WorkspaceTokens> TakeSpare(TimePoint now);
 
-  /// Puts in tokens that another host has taken out.
-  void Receive(WorkspaceId workspace, std::uint32_t tokens, TimePoint now);
+  /// Puts in tokens that another host has taken out. A pool that is full loses
+  /// them.
+  void Receive(WorkspaceId workspace, double tokens, TimePoint now);
 
   /// @return the time until a token is there.
   [[nodiscard]] Duration UntilToken(WorkspaceId workspace, TimePoint now) const;
 
-  [[nodiscard]] double share() const { return share_; }
+  [[nodiscard]] const LimitRole& role() const { return role_; }
 
  private:
   struct Bucket {
@@ -73,18 +103,18 @@
     double burst = 0.0;  ///< Of all hosts, requests.
     double tokens = 0.0;
     TimePoint updated{};
+    TimePoint asked{};  ///< Last request, served or not.
   };
 
-  [[nodiscard]] double Capacity(const Bucket& bucket) const;
+  [[nodiscard]] double Capacity(const Bucket& bucket, TimePoint now) const;
+  [[nodiscard]] static bool InDemand(const Bucket& bucket, TimePoint now);
   /// @return tokens that a new bucket holds for all hosts together.
   [[nodiscard]] double FirstTokens(const Bucket& bucket) const;
-  /// @return tokens that this host's bucket gets in a second.
-  [[nodiscard]] double RateHere(const Bucket& bucket) const;
   [[nodiscard]] double TokensAt(const Bucket& bucket, TimePoint now) const;
   void Refill(Bucket& bucket, TimePoint now);
 
   LimitTolerance tolerance_;
-  double share_ = 0.0;
+  LimitRole role_;
   std::unordered_map<WorkspaceId, Bucket> buckets_;
 };
 
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -1,5 +1,6 @@
 #include "comfreyvane/gateway/fleet_codec.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -35,24 +36,25 @@
   return rows;
 }
 
-json::array Pairs(const std::vector<TokenAmount>& amounts) {
+json::array Pairs(const std::vector<WorkspaceTokens>& amounts) {
   json::array rows;
-  for (const TokenAmount& one : amounts)
+  for (const WorkspaceTokens& one : amounts)
     rows.push_back(json::array{one.workspace.value(), one.tokens});
   return rows;
 }
 
+/// @tparam Second type of the second number of each pair.
 /// @param make called with the two numbers of each pair.
-template <typename Make>
+template <typename Second, typename Make>
 auto ReadPairs(const json::object& object, std::string_view name, Make make) {
-  std::vector<decltype(make(0, 0))> result;
+  std::vector<decltype(make(0, Second()))> result;
   const json::value* const rows = object.if_contains(name);
   if (rows == nullptr)
     return result;
   for (const json::value& row : rows->as_array()) {
     const json::array& pair = row.as_array();
     result.push_back(make(NumberOf<std::uint64_t>(pair.at(0)),
-                          NumberOf<std::uint32_t>(pair.at(1))));
+                          NumberOf<Second>(pair.at(1))));
   }
   return result;
 }
@@ -118,8 +120,8 @@
 
 std::optional<Heartbeat> ParseHeartbeat(std::string_view text) {
   return Parsed<Heartbeat>(text, [](const json::object& object) {
-    const auto amount = [](std::uint64_t id, std::uint32_t tokens) {
-      return TokenAmount{WorkspaceId(id), tokens};
+    const auto amount = [](std::uint64_t id, double tokens) {
+      return WorkspaceTokens{WorkspaceId(id), std::max(0.0, tokens)};
     };
     Heartbeat heartbeat;
     heartbeat.host = Text(object, "host");
@@ -127,17 +129,17 @@
     heartbeat.sequence = NumberOf<std::uint64_t>(object.at("sequence"));
     heartbeat.leaving = object.contains("leaving");
     if (object.contains("use")) {
-      heartbeat.use =
-          ReadPairs(object, "use", [](std::uint64_t id, std::uint32_t running) {
+      heartbeat.use = ReadPairs<std::uint32_t>(
+          object, "use", [](std::uint64_t id, std::uint32_t running) {
             return BackendUse{BackendServerId(id), running};
           });
     }
-    heartbeat.suspects = ReadPairs(
+    heartbeat.suspects = ReadPairs<std::uint32_t>(
         object, "suspects", [](std::uint64_t print, std::uint32_t count) {
           return SuspectReport{print, count};
         });
-    heartbeat.wanted = ReadPairs(object, "wanted", amount);
-    heartbeat.given = ReadPairs(object, "given", amount);
+    heartbeat.wanted = ReadPairs<double>(object, "wanted", amount);
+    heartbeat.given = ReadPairs<double>(object, "given", amount);
     return heartbeat;
   });
 }
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -130,13 +130,17 @@
 }
 
 void GatewayState::OnTick(TimePoint now) {
-  const double share = context_.fleet.Share(now);
-  if (share != context_.limiter.share()) {
+  const bool pools = context_.fleet.PoolsLimits(now);
+  const LimitRole role{context_.fleet.Share(now),
+                       pools ? context_.fleet.SharesOfDomain() : 0.0, pools};
+  if (role != context_.limiter.role()) {
     Log(LogLevel::kInfo, "limit-share",
-        {{"share", share},
-         {"before", context_.limiter.share()},
+        {{"share", role.share},
+         {"before", context_.limiter.role().share},
+         {"pools", role.pools},
+         {"pooled", role.pooled},
          {"hosts", context_.fleet.size()}});
-    context_.limiter.SetShare(share, now);
+    context_.limiter.SetRole(role, now);
   }
   for (const BackendServerId server : context_.backends.Cold(now)) {
     const BackendState* const state = context_.backends.Find(server);
--- a/src/comfreyvane/gateway/heartbeat.h
+++ b/src/comfreyvane/gateway/heartbeat.h
@@ -11,17 +11,10 @@
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/edge/backend_use.h"
+#include "comfreyvane/edge/workspace_limiter.h"
 
 namespace comfreyvane {
 
-/// Tokens of a workspace that are wanted or given.
-struct TokenAmount {
-  WorkspaceId workspace;
-  std::uint32_t tokens = 0;
-
-  friend bool operator==(const TokenAmount&, const TokenAmount&) = default;
-};
-
 /// A request that backend servers broke off on.
 struct SuspectReport {
   std::uint64_t fingerprint = 0;
@@ -40,8 +33,8 @@
   /// the heartbeat does not tell.
   std::optional<std::vector<BackendUse>> use;
   std::vector<SuspectReport> suspects;
-  std::vector<TokenAmount> wanted;  ///< Of limits that the sender is short of.
-  std::vector<TokenAmount> given;   ///< To the receiver.
+  std::vector<WorkspaceTokens> wanted;  ///< What the sender is short of.
+  std::vector<WorkspaceTokens> given;   ///< To the receiver.
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -28,14 +28,26 @@
 /// Time for which a limit that was short is asked for with each heartbeat.
 constexpr Duration kWantMemory = std::chrono::seconds(1);
 
-/// Least time between two questions for tokens of one limit.
+/// Time between transfers of spare tokens to the pool.
+constexpr Duration kTransferPeriod = std::chrono::milliseconds(250);
+
+/// Least time between two questions for tokens of one limit, within a failure
+/// domain and beyond it.
+constexpr Duration kPoolAskInterval = std::chrono::milliseconds(20);
 constexpr Duration kAskInterval = std::chrono::milliseconds(200);
 
-/// Hosts of other regions that are asked at once, beside those of the region.
+/// Pools of other regions that are asked at once, beside those of the region.
 constexpr std::size_t kAskedAbroad = 2;
 
-/// Tokens that are asked for at a time.
-constexpr std::uint32_t kWantedTokens = 8;
+/// Tokens that a host asks its pool for, and a pool others, at a time.
+constexpr double kWantedOfPool = 2.0;
+constexpr double kWantedOfOthers = 16.0;
+
+/// Part of its tokens that a pool gives to another at most.
+constexpr double kGivenPart = 0.5;
+
+/// Time after which a request that waited for a token has given up.
+constexpr Duration kWaiting = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -102,62 +114,120 @@
   for (const SuspectReport& suspect : heartbeat.suspects)
     context_.poison.OnPeerReport(suspect.fingerprint, suspect.count,
                                  host.value(), now);
-  for (const TokenAmount& amount : heartbeat.given) {
+  TakeTokens(heartbeat, now);
+  GiveTokens(heartbeat, now);
+}
+
+void PeerLink::TakeTokens(const Heartbeat& heartbeat, TimePoint now) {
+  for (const WorkspaceTokens& amount : heartbeat.given) {
     context_.limiter.Receive(amount.workspace, amount.tokens, now);
-    wanted_[amount.workspace].received = now;
+    if (const auto want = wanted_.find(amount.workspace); want != wanted_.end())
+      want->second.received = now;
   }
-  GiveTokens(heartbeat, now);
+  if (!heartbeat.given.empty())
+    ServeWaiting(now);
 }
 
 void PeerLink::GiveTokens(const Heartbeat& heartbeat, TimePoint now) {
-  if (heartbeat.wanted.empty())
+  if (heartbeat.wanted.empty() || !context_.fleet.PoolsLimits(now))
     return;
-  Heartbeat gift;
-  for (const TokenAmount& amount : heartbeat.wanted) {
-    const std::uint32_t given =
-        context_.limiter.TakeForPeer(amount.workspace, amount.tokens, now);
-    if (given > 0)
-      gift.given.push_back({amount.workspace, given});
+  const HostId host = HostId::Of(heartbeat.host);
+  const bool of_domain = context_.fleet.IsOfDomain(host);
+  std::vector<WorkspaceTokens> given;
+  for (const WorkspaceTokens& wanted : heartbeat.wanted) {
+    const double tokens = context_.limiter.TakeForPeer(
+        wanted.workspace, wanted.tokens, of_domain ? 1.0 : kGivenPart, now);
+    if (tokens > 0) {
+      given.push_back({wanted.workspace, tokens});
+    } else if (of_domain) {
+      waiting_.push_back({host, wanted, now});
+      static_cast<void>(WantTokens(wanted.workspace, now));
+    }
   }
-  if (gift.given.empty())
+  Give(host, given, now);
+}
+
+void PeerLink::ServeWaiting(TimePoint now) {
+  std::erase_if(waiting_, [&](const Waiting& waiting) {
+    if (now - waiting.since > kWaiting)
+      return true;
+    const double tokens = context_.limiter.TakeForPeer(
+        waiting.wanted.workspace, waiting.wanted.tokens, 1.0, now);
+    if (tokens <= 0)
+      return false;
+    Give(waiting.host, {{waiting.wanted.workspace, tokens}}, now);
+    return true;
+  });
+}
+
+void PeerLink::Give(HostId host,
+                    const std::vector<WorkspaceTokens>& tokens,
+                    TimePoint now) {
+  const auto receiver = context_.fleet.Find(host);
+  if (tokens.empty() || !receiver)
     return;
-  for (const FleetHost& host : context_.fleet.Peers()) {
-    if (host.name != heartbeat.host)
-      continue;
-    Heartbeat reply = Compose(now);
-    reply.given = gift.given;
-    SendTo(host, DatagramOf(reply));
+  Heartbeat heartbeat = Compose(now);
+  heartbeat.given = tokens;
+  SendTo(*receiver, DatagramOf(heartbeat));
+}
+
+void PeerLink::PoolSpareTokens(TimePoint now) {
+  next_transfer_ = now + kTransferPeriod;
+  if (state_.fleet_secret().empty())
+    return;
+  // One datagram takes so many.
+  constexpr std::size_t kMost = 100;
+  std::vector<WorkspaceTokens> spare = context_.limiter.TakeSpare(now);
+  const HostId pool = context_.fleet.Pool(now).id();
+  for (std::size_t begin = 0; begin < spare.size(); begin += kMost) {
+    const auto first = spare.begin() + static_cast<std::ptrdiff_t>(begin);
+    const auto count = std::min(kMost, spare.size() - begin);
+    Give(pool, {first, first + static_cast<std::ptrdiff_t>(count)}, now);
   }
 }
 
 bool PeerLink::WantTokens(WorkspaceId workspace, TimePoint now) {
+  if (state_.fleet_secret().empty())
+    return false;
+  const bool pools = context_.fleet.PoolsLimits(now);
+  const Duration interval = pools ? kAskInterval : kPoolAskInterval;
   Want& want = wanted_[workspace];
-  if (now - want.asked < kAskInterval)
-    return want.received >= want.asked;
-  const bool gave = want.asked == TimePoint{} || want.received >= want.asked ||
-                    now - want.asked > kWantMemory;
+  const bool answered = want.received >= want.asked;
+  if (now - want.asked < interval)
+    return answered || want.may_come;
+  // What was not given a moment ago will not be given now.
+  want.may_come = answered || now - want.asked > kWantMemory;
   want.asked = now;
-  AskNearPeers(workspace, now);
-  return gave;
+  if (pools)
+    AskOtherPools(workspace, now);
+  else
+    AskPool(workspace, now);
+  return want.may_come;
 }
 
-void PeerLink::AskNearPeers(WorkspaceId workspace, TimePoint now) {
-  if (state_.fleet_secret().empty())
-    return;
+void PeerLink::AskPool(WorkspaceId workspace, TimePoint now) {
+  Heartbeat heartbeat = Compose(now);
+  heartbeat.wanted.push_back({workspace, kWantedOfPool});
+  SendTo(context_.fleet.Pool(now), DatagramOf(heartbeat));
+}
+
+void PeerLink::AskOtherPools(WorkspaceId workspace, TimePoint now) {
   Heartbeat heartbeat = Compose(now);
-  heartbeat.wanted.push_back({workspace, kWantedTokens});
+  heartbeat.wanted.push_back({workspace, kWantedOfOthers});
   const std::string datagram = DatagramOf(heartbeat);
-  const std::vector<FleetHost> peers = context_.fleet.Peers();
+  const std::vector<FleetHost> pools = context_.fleet.OtherPools(now);
   std::size_t abroad = 0;
-  for (std::size_t i = 0; i < peers.size(); ++i) {
-    const FleetHost& peer = peers[(sequence_ + i) % peers.size()];
-    if (context_.fleet.IsNear(peer) || abroad++ < kAskedAbroad)
-      SendTo(peer, datagram);
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    const FleetHost& pool = pools[(sequence_ + i) % pools.size()];
+    if (context_.fleet.IsNear(pool) || abroad++ < kAskedAbroad)
+      SendTo(pool, datagram);
   }
 }
 
 void PeerLink::OnTick(TimePoint now) {
   context_.backends.OnPeerUse(use_.Expire(now), now);
+  if (now >= next_transfer_)
+    PoolSpareTokens(now);
   if (now >= next_near_)
     SendNear(now);
   if (now >= next_far_)
@@ -178,8 +248,10 @@
   });
   Heartbeat heartbeat = Compose(now);
   heartbeat.use = context_.backends.Use();
-  for (const auto& [workspace, want] : wanted_)
-    heartbeat.wanted.push_back({workspace, kWantedTokens});
+  if (context_.fleet.PoolsLimits(now)) {
+    for (const auto& [workspace, want] : wanted_)
+      heartbeat.wanted.push_back({workspace, kWantedOfOthers});
+  }
   const std::string datagram = DatagramOf(heartbeat);
   for (const FleetHost& host : context_.fleet.Peers()) {
     if (context_.fleet.IsNear(host))
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "comfreyvane/edge/peer_use.h"
 #include "comfreyvane/gateway/gateway_context.h"
@@ -35,7 +36,8 @@
   /// Sends heartbeats at once.
   void SendNow(TimePoint now);
 
-  /// Asks other hosts for tokens of a limit that this host is short of.
+  /// Asks the pool of the failure domain, or a pool others, for tokens of a
+  /// limit that this host is short of.
   /// @return whether some may come shortly: not if they gave none a moment ago.
   [[nodiscard]] bool WantTokens(WorkspaceId workspace, TimePoint now);
 
@@ -53,7 +55,16 @@
   void Receive();
   void OnDatagram(std::string_view datagram, TimePoint now);
   void OnHeartbeat(const Heartbeat& heartbeat, TimePoint now);
+  void TakeTokens(const Heartbeat& heartbeat, TimePoint now);
   void GiveTokens(const Heartbeat& heartbeat, TimePoint now);
+  /// Gives what has come to the hosts that were short a moment ago.
+  void ServeWaiting(TimePoint now);
+  /// Sends tokens to a host.
+  void Give(HostId host,
+            const std::vector<WorkspaceTokens>& tokens,
+            TimePoint now);
+  /// Moves tokens that are not in demand to the pool of the failure domain.
+  void PoolSpareTokens(TimePoint now);
   /// Sends heartbeats to the other hosts of the region.
   void SendNear(TimePoint now);
   /// Sends heartbeats to hosts of other regions.
@@ -72,15 +83,24 @@
   std::uint64_t sequence_ = 0;
   TimePoint next_near_{};
   TimePoint next_far_{};
+  TimePoint next_transfer_{};
   std::unordered_map<HostId, Peer> peers_;
   PeerUse use_;
   struct Want {
     TimePoint asked{};
     TimePoint received{};
+    bool may_come = true;
   };
-  void AskNearPeers(WorkspaceId workspace, TimePoint now);
+  struct Waiting {
+    HostId host;
+    WorkspaceTokens wanted;
+    TimePoint since{};
+  };
+  void AskPool(WorkspaceId workspace, TimePoint now);
+  void AskOtherPools(WorkspaceId workspace, TimePoint now);
 
   std::map<WorkspaceId, Want> wanted_;
+  std::vector<Waiting> waiting_;  ///< Hosts that this pool gave too little.
 };
 
 }  // namespace comfreyvane
--- a/tests/comfreyvane/edge/fleet_view_test.cc
+++ b/tests/comfreyvane/edge/fleet_view_test.cc
@@ -172,3 +172,20 @@
   cr_expect(view.RelayFor(kStart + seconds(1))->name == "a3");
   cr_expect(!view.RelayFor(kStart + seconds(2)), "all fell silent");
 }
+
+Test(fleet_view, one_host_of_a_failure_domain_pools_its_limits) {
+  std::vector<FleetHost> hosts = HostsOfDomains();
+  hosts[1].processor_share = 0.5;
+  const FleetView first = ViewOf(hosts[0], hosts);
+  cr_expect(!first.PoolsLimits(kStart));
+  cr_expect(first.Pool(kStart).name == "a2");
+  const FleetView pool = ViewOf(hosts[1], hosts);
+  cr_expect(pool.PoolsLimits(kStart));
+  cr_expect(std::abs(pool.SharesOfDomain() - 0.5) < 1e-9);
+  const auto others = pool.OtherPools(kStart);
+  cr_assert_eq(others.size(), 1U);
+  cr_expect(others[0].name == "b1");
+  const FleetView alone = ViewOf(hosts[3], hosts);
+  cr_expect(alone.PoolsLimits(kStart) && alone.SharesOfDomain() == 0.0);
+  cr_expect(alone.OtherPools(kStart)[0].name == "a2");
+}
--- a/tests/comfreyvane/edge/workspace_limiter_test.cc
+++ b/tests/comfreyvane/edge/workspace_limiter_test.cc
@@ -41,7 +41,7 @@
 
 Test(workspace_limiter, has_no_limit_without_a_rate) {
   WorkspaceLimiter limiter(kExact);
-  limiter.SetShare(0.5, kStart);
+  limiter.SetRole({.share = 0.5}, kStart);
   limiter.Configure({Limited(0, 0)}, kStart);
   for (int i = 0; i < 1000; ++i)
     cr_assert(limiter.TryTake(kKandy, kStart));
@@ -50,7 +50,7 @@
 
 Test(workspace_limiter, fills_up_to_its_share_of_the_burst) {
   WorkspaceLimiter limiter(kExact);
-  limiter.SetShare(0.25, kStart);
+  limiter.SetRole({.share = 0.25}, kStart);
   limiter.Configure({Limited(40, 80)}, kStart);
   cr_expect_eq(TakeAll(limiter, kStart + seconds(60)), 20);
   cr_expect_eq(TakeAll(limiter, kStart + seconds(61)), 10);
@@ -58,7 +58,7 @@
 
 Test(workspace_limiter, a_lowered_limit_takes_tokens_back) {
   WorkspaceLimiter limiter(kExact);
-  limiter.SetShare(1.0, kStart);
+  limiter.SetRole({.share = 1.0}, kStart);
   limiter.Configure({Limited(100, 100)}, kStart);
   limiter.Configure({Limited(10, 10)}, kStart + seconds(60));
   cr_expect_eq(TakeAll(limiter, kStart + seconds(60)), 10);
@@ -66,7 +66,7 @@
 
 Test(workspace_limiter, returns_the_token_of_what_has_not_run) {
   WorkspaceLimiter limiter(kExact);
-  limiter.SetShare(1.0, kStart);
+  limiter.SetRole({.share = 1.0}, kStart);
   limiter.Configure({Limited(10, 10)}, kStart);
   const TimePoint later = kStart + seconds(60);
   TakeAll(limiter, later);
@@ -78,13 +78,13 @@
   WorkspaceLimiter giver(kExact);
   WorkspaceLimiter taker(kExact);
   for (WorkspaceLimiter* limiter : {&giver, &taker}) {
-    limiter->SetShare(0.5, kStart);
+    limiter->SetRole({.share = 0.5}, kStart);
     limiter->Configure({Limited(40, 80)}, kStart);
   }
   const TimePoint later = kStart + seconds(60);
   cr_assert_eq(TakeAll(taker, later), 40);
-  const std::uint32_t given = giver.TakeForPeer(kKandy, 1000, later);
-  cr_expect_eq(given, 20);
+  const double given = giver.TakeForPeer(kKandy, 1000, 0.5, later);
+  cr_expect_eq(given, 20.0);
   taker.Receive(kKandy, given, later);
   cr_expect_eq(TakeAll(giver, later) + TakeAll(taker, later), 40);
 }
@@ -100,7 +100,7 @@
     std::vector<WorkspaceLimiter> hosts(kHosts, WorkspaceLimiter({}));
     const auto start = [](WorkspaceLimiter& host, TimePoint now) {
       host = WorkspaceLimiter({});
-      host.SetShare(1.0 / kHosts, now);
+      host.SetRole({.share = 1.0 / kHosts}, now);
       host.Configure({Limited(kRate, kBurst)}, now);
     };
     for (WorkspaceLimiter& host : hosts)
@@ -122,7 +122,7 @@
       }
       const auto from = random.Below(kHosts);
       const auto to = random.Below(kHosts);
-      const auto given = hosts[from].TakeForPeer(kKandy, 8, now);
+      const auto given = hosts[from].TakeForPeer(kKandy, 8, 0.5, now);
       if (random.Uniform() < 0.7)
         hosts[to].Receive(kKandy, given, now);
       taken.push_back(now_taken);
@@ -136,3 +136,172 @@
     }
   }
 }
+
+namespace {
+
+/// Hosts of failure domains that move tokens as the gateway does.
+class PooledFleet {
+ public:
+  PooledFleet(int domains, int hosts_each, double rate, double burst)
+      : hosts_each_(hosts_each),
+        rate_(rate),
+        burst_(burst),
+        hosts_(static_cast<std::size_t>(domains * hosts_each),
+               WorkspaceLimiter({})) {
+    for (std::size_t host = 0; host < hosts_.size(); ++host)
+      Start(host, kStart);
+  }
+
+  void Start(std::size_t host, TimePoint now) {
+    const double share = 1.0 / static_cast<double>(hosts_.size());
+    const bool pools = PoolOf(host) == host;
+    hosts_[host] = WorkspaceLimiter({});
+    hosts_[host].SetRole(
+        {share, pools ? share * (hosts_each_ - 1) : 0.0, pools}, now);
+    hosts_[host].Configure({Limited(rate_, burst_)}, now);
+  }
+
+  /// A request at a host, which asks its pool if it is short.
+  bool Request(std::size_t host, RandomSource& random, TimePoint now) {
+    if (hosts_[host].TryTake(kKandy, now))
+      return true;
+    const std::size_t pool = PoolOf(host);
+    if (pool != host)
+      Move(pool, host, 2, 1.0, random, now);
+    if (hosts_[host].TryTake(kKandy, now))
+      return true;
+    for (std::size_t other = 0; other < hosts_.size(); other += hosts_each_) {
+      if (other != pool)
+        Move(other, pool, 16, 0.5, random, now);
+    }
+    if (pool != host)
+      Move(pool, host, 2, 1.0, random, now);
+    return hosts_[host].TryTake(kKandy, now);
+  }
+
+  void Pool(RandomSource& random, TimePoint now) {
+    for (std::size_t host = 0; host < hosts_.size(); ++host) {
+      for (const WorkspaceTokens& spare : hosts_[host].TakeSpare(now)) {
+        if (random.Uniform() < kArrive)
+          hosts_[PoolOf(host)].Receive(kKandy, spare.tokens, now);
+      }
+    }
+  }
+
+  [[nodiscard]] std::size_t size() const { return hosts_.size(); }
+
+ private:
+  /// Part of the datagrams that arrive.
+  static constexpr double kArrive = 0.95;
+
+  [[nodiscard]] std::size_t PoolOf(std::size_t host) const {
+    return host - host % static_cast<std::size_t>(hosts_each_);
+  }
+  void Move(std::size_t from,
+            std::size_t to,
+            double wanted,
+            double part,
+            RandomSource& random,
+            TimePoint now) {
+    const double given = hosts_[from].TakeForPeer(kKandy, wanted, part, now);
+    if (given > 0 && random.Uniform() < kArrive)
+      hosts_[to].Receive(kKandy, given, now);
+  }
+
+  int hosts_each_;
+  double rate_;
+  double burst_;
+  std::vector<WorkspaceLimiter> hosts_;
+};
+
+constexpr int kStepsASecond = 20;
+
+/// @param demand requests/s at a step.
+/// @return requests that ran and that were refused, by step.
+template <typename Demand>
+std::vector<std::pair<int, int>> Play(PooledFleet& fleet,
+                                      std::uint64_t seed,
+                                      int steps,
+                                      Demand demand) {
+  RandomSource random(seed);
+  std::vector<std::pair<int, int>> played;
+  for (int step = 0; step < steps; ++step) {
+    const TimePoint now = kStart + milliseconds(1000 / kStepsASecond) * step;
+    if (step % (kStepsASecond / 4) == 0)
+      fleet.Pool(random, now);
+    std::pair<int, int> counts;
+    double due = demand(step) / kStepsASecond;
+    for (; due > random.Uniform(); due -= 1.0)
+      ++(fleet.Request(random.Below(fleet.size()), random, now)
+             ? counts.first
+             : counts.second);
+    played.push_back(counts);
+  }
+  return played;
+}
+
+}  // namespace
+
+Test(workspace_limiter, pools_keep_a_large_fleet_within_the_bound) {
+  for (const auto& [rate, burst] :
+       {std::pair(8.0, 8.0), std::pair(40.0, 40.0), std::pair(200.0, 100.0)}) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      PooledFleet fleet(6, 11, rate, burst);
+      // Calm, then a rush of many times the rate, again and again.
+      const auto played =
+          Play(fleet, seed, 60 * kStepsASecond, [&, rate = rate](int step) {
+            const bool rush = step / kStepsASecond % 12 >= 8;
+            return rush ? 10 * rate : 0.5 * rate;
+          });
+      const std::size_t window = 5 * kStepsASecond;
+      for (std::size_t end = window; end <= played.size(); ++end) {
+        int ran = 0;
+        for (std::size_t i = end - window; i < end; ++i)
+          ran += played[i].first;
+        cr_assert(ran <= WindowBound(rate, burst), "rate %g seed %lu: %d", rate,
+                  static_cast<unsigned long>(seed), ran);
+      }
+    }
+  }
+}
+
+Test(workspace_limiter, pools_serve_nearly_all_within_the_rate) {
+  constexpr double kRate = 40;
+  int ran = 0;
+  int refused = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    PooledFleet fleet(6, 11, kRate, kRate);
+    const auto played =
+        Play(fleet, seed, 30 * kStepsASecond, [](int) { return 0.6 * kRate; });
+    // After the start, at which buckets hold little.
+    for (std::size_t i = 2 * kStepsASecond; i < played.size(); ++i) {
+      ran += played[i].first;
+      refused += played[i].second;
+    }
+  }
+  cr_expect(refused * 100 <= ran + refused, "%d of %d refused", refused,
+            ran + refused);
+}
+
+Test(workspace_limiter, a_host_cut_from_its_pool_serves_its_own_share) {
+  WorkspaceLimiter host({});
+  host.SetRole({0.1, 0.0, false}, kStart);
+  host.Configure({Limited(20, 20)}, kStart);
+  int ran = 0;
+  for (int step = 0; step < 200; ++step)
+    ran += host.TryTake(kKandy, kStart + milliseconds(100) * step) ? 1 : 0;
+  cr_expect(ran >= 38, "%d of 40 requests at 2/s", ran);
+}
+
+Test(workspace_limiter, spare_tokens_leave_a_bucket_that_nothing_asks_for) {
+  WorkspaceLimiter host(kExact);
+  host.SetRole({0.5, 0.0, false}, kStart);
+  host.Configure({Limited(40, 80)}, kStart);
+  const TimePoint later = kStart + seconds(60);
+  const auto spare = host.TakeSpare(later);
+  cr_assert_eq(spare.size(), 1U);
+  cr_expect(spare[0].tokens > 5.9 && spare[0].tokens < 6.1,
+            "%g, not those of 300 ms", spare[0].tokens);
+  cr_expect(host.TakeSpare(later).empty());
+  cr_expect_eq(TakeAll(host, later), 0);
+}
--- a/tests/comfreyvane/gateway/fleet_codec_test.cc
+++ b/tests/comfreyvane/gateway/fleet_codec_test.cc
@@ -18,8 +18,8 @@
   heartbeat.use =
       std::vector<BackendUse>{{BackendServerId(1), 2}, {BackendServerId(3), 4}};
   heartbeat.suspects = {{5, 6}};
-  heartbeat.wanted = {{WorkspaceId(7), 8}};
-  heartbeat.given = {{WorkspaceId(9), 10}};
+  heartbeat.wanted = {{WorkspaceId(7), 8.0}};
+  heartbeat.given = {{WorkspaceId(9), 0.125}};
   return heartbeat;
 }
 
