Move objects slowly to servers that join; let pools keep what they asked for

Change: a server that joins is introduced by three hosts, of its failure domain first; it becomes the home of objects over 15 to 45 s, at once if the others of the region are half busy. Tokens that were asked for may exceed the capacity; a host's bucket has room for one token and 300 ms of its rate. Answers are awaited for 60 ms past the deadline in place of 120. The test a_new_server_nearby_is_soon_in_use now makes the host one of those that introduce the server; a_server_that_joins_is_first_used_by_few_hosts checks the others.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -43,10 +43,18 @@
 /// Times the expected time that a silent server adds.
 constexpr double kSuspectCost = 3.0;
 
-/// What a server that this host has not used yet is preferred by, so that a new
-/// one is soon in use, milliseconds.
+/// What a server that has joined is preferred by at the hosts that first use
+/// it, so that it is soon in use, milliseconds.
 constexpr double kIntroductionMs = 2000.0;
 
+/// Time over which the objects whose home a server that joined will be move to
+/// it, unless the others are busy: each move costs a cold run.
+constexpr Duration kFirstMove = std::chrono::seconds(15);
+constexpr Duration kLastMove = std::chrono::seconds(45);
+
+/// Load of the other servers of the region at which objects move at once.
+constexpr double kBusyLoad = 0.5;
+
 /// Requests that may wait at a server, for each of its slots.
 constexpr double kWaitingPerSlot = 1.0;
 
@@ -76,21 +84,26 @@
 void BackendPicker::Upsert(const BackendEntry& entry, TimePoint now) {
   const BackendServerId id = entry.id();
   const auto found = states_.find(id);
+  const auto region = regions_.find(entry.failure_domain);
+  const RegionId region_id =
+      region == regions_.end() ? RegionId() : region->second;
   if (found != states_.end()) {
     Slot& slot = *found->second;
     const ServiceId before = slot.state.entry().service;
+    if (serving_ && slot.state.entry().started_ms != entry.started_ms)
+      slot.joined = now;
     slot.state.Update(entry, now);
     slot.distance = DistanceOf(entry.failure_domain);
+    slot.region = region_id;
     if (before != entry.service) {
       std::erase(by_service_[before], &slot);
       by_service_[entry.service].push_back(&slot);
     }
     return;
   }
-  const auto region = regions_.find(entry.failure_domain);
   auto slot = std::make_unique<Slot>(
       Slot{BackendState(entry, now), DistanceOf(entry.failure_domain),
-           region == regions_.end() ? RegionId() : region->second});
+           region_id, serving_ ? now : TimePoint{}});
   by_service_[entry.service].push_back(slot.get());
   states_.emplace(id, std::move(slot));
 }
@@ -127,7 +140,10 @@
     const bool returns = evacuated_.contains(entry.failure_domain) &&
                          !domains.contains(entry.failure_domain);
     const auto cold = cold_times.find(entry.service);
-    if (returns && cold != cold_times.end())
+    if (!returns)
+      continue;
+    slot->joined = now;
+    if (cold != cold_times.end())
       slot->state.SetCold(cold->second, now);
   }
   if (domains != evacuated_)
@@ -135,10 +151,14 @@
   evacuated_ = domains;
 }
 
-void BackendPicker::SetColdRate(BackendServerId server, double rate) {
+void BackendPicker::SetPart(BackendServerId server,
+                            bool introduces,
+                            double cold_rate) {
   const auto found = states_.find(server);
-  if (found != states_.end())
-    found->second->cold_rate = rate;
+  if (found == states_.end())
+    return;
+  found->second->introduces = introduces;
+  found->second->cold_rate = cold_rate;
 }
 
 std::optional<BackendChoice> BackendPicker::Pick(const PickRequest& request,
@@ -273,20 +293,44 @@
   const bool confined = !request.regions.empty();
   const bool own_allowed = MayRunIn(self_.region, request);
   const bool abroad = confined ? !own_allowed : IsAbroad(request.object, slots);
-  const Slot* home = nullptr;
-  std::uint64_t best = 0;
+  struct Best {
+    const Slot* slot = nullptr;
+    std::uint64_t hash = 0;
+  };
+  Best settled;
+  Best any;
+  double running = 0.0;
+  double slots_of_settled = 0.0;
   for (const Slot* slot : slots) {
     if ((slot->region == self_.region) == abroad ||
         !MayRunIn(slot->region, request) || !MayBeHome(*slot, now))
       continue;
     const std::uint64_t hash =
         HashPair(slot->state.entry().id().value(), request.object);
-    if (home == nullptr || hash > best) {
-      home = slot;
-      best = hash;
-    }
+    const auto take = [&](Best& best) {
+      if (best.slot == nullptr || hash > best.hash)
+        best = {slot, hash};
+    };
+    take(any);
+    if (!IsSettled(*slot, request.object, now))
+      continue;
+    take(settled);
+    running += slot->state.own() + slot->state.Others(now);
+    slots_of_settled += slot->state.entry().slots;
   }
-  return home;
+  const bool busy = running >= kBusyLoad * slots_of_settled;
+  return busy ? any.slot : settled.slot;
+}
+
+bool BackendPicker::IsSettled(const Slot& slot,
+                              std::uint64_t object,
+                              TimePoint now) {
+  if (slot.joined == TimePoint{})
+    return true;
+  const double part = Unit(HashPair(object, slot.state.entry().id().value()));
+  const auto wait = static_cast<Duration::rep>(
+      part * static_cast<double>((kLastMove - kFirstMove).count()));
+  return now - slot.joined >= kFirstMove + Duration(wait);
 }
 
 double BackendPicker::DistanceCost(const Slot& slot,
@@ -313,7 +357,7 @@
   double cost = time * (1.0 + kLoadCost * load * load);
   if (state.IsSuspect(expected, now))
     cost += kSuspectCost * time;
-  if (!state.used() && slot.distance == Distance::kSameFailureDomain)
+  if (!state.used() && slot.introduces)
     cost -= kIntroductionMs;
   return cost;
 }
@@ -329,6 +373,7 @@
   if (slot.state.IsCold(now) && !slot.state.TakeColdToken(slot.cold_rate, now))
     return false;
   slot.state.OnStarted(now);
+  serving_ = true;
   // Requests that belong abroad are a constant part.
   spill_.OnSent(choice.overflow, now);
   return true;
@@ -413,13 +458,14 @@
   return use;
 }
 
-std::vector<BackendServerId> BackendPicker::Cold(TimePoint now) const {
-  std::vector<BackendServerId> cold;
+std::vector<BackendServerId> BackendPicker::NeedOwners(TimePoint now) const {
+  std::vector<BackendServerId> servers;
   for (const auto& [id, slot] : states_) {
-    if (slot->state.IsCold(now))
-      cold.push_back(id);
+    const bool is_new = slot->joined != TimePoint{} && !slot->state.used();
+    if (slot->state.IsCold(now) || is_new)
+      servers.push_back(id);
   }
-  return cold;
+  return servers;
 }
 
 bool BackendPicker::HasServers(ServiceId service) const {
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -51,9 +51,10 @@
                     const std::unordered_map<ServiceId, Duration>& cold_times,
                     TimePoint now);
 
-  /// Sets what cold servers of a service take from this host.
-  /// @param rate requests/s; 0: none.
-  void SetColdRate(BackendServerId server, double rate);
+  /// Sets what a server that is cold or new takes from this host.
+  /// @param introduces this host is one of those that first use a new server.
+  /// @param cold_rate what it may send while the server is cold, requests/s.
+  void SetPart(BackendServerId server, bool introduces, double cold_rate);
 
   /// Decides where a request runs. Does not count it: call OnStarted.
   /// @return nothing if no server has room.
@@ -85,8 +86,9 @@
   [[nodiscard]] std::vector<BackendUse> Use() const;
   /// @return the same, only of servers of one region.
   [[nodiscard]] std::vector<BackendUse> UseIn(RegionId region) const;
-  /// @return cold servers that are in use or may be.
-  [[nodiscard]] std::vector<BackendServerId> Cold(TimePoint now) const;
+  /// @return servers that are cold, or that have joined and not been used here:
+  ///     only some hosts send to them.
+  [[nodiscard]] std::vector<BackendServerId> NeedOwners(TimePoint now) const;
   /// @return whether a service has a server that may be used now or soon.
   [[nodiscard]] bool HasServers(ServiceId service) const;
   [[nodiscard]] std::size_t size() const { return states_.size(); }
@@ -96,6 +98,8 @@
     BackendState state;
     Distance distance = Distance::kOtherRegion;
     RegionId region;
+    TimePoint joined{};  ///< Or returned; zero: before the first request.
+    bool introduces = false;
     double cold_rate = 0.0;
   };
 
@@ -116,6 +120,11 @@
                                    TimePoint now);
   /// @return whether a server may be the home of an object.
   [[nodiscard]] bool MayBeHome(const Slot& slot, TimePoint now) const;
+  /// @return whether a server has been there for long enough to be the home of
+  ///     an object. The objects that move to it do so over a while.
+  [[nodiscard]] static bool IsSettled(const Slot& slot,
+                                      std::uint64_t object,
+                                      TimePoint now);
   /// @return the server that all hosts of this region take for an object's
   ///     home, or null.
   [[nodiscard]] const Slot* HomeOf(const PickRequest& request,
@@ -134,6 +143,7 @@
   std::unordered_set<FailureDomainId> evacuated_;
   LatencyModel latencies_;
   WarmthModel warmth_;
+  bool serving_ = false;  ///< A request has been sent.
   /// Average size of answers by kind of request, kilobytes.
   std::unordered_map<std::uint64_t, double> answer_kb_;
   SpillRamp spill_;
--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -1,6 +1,8 @@
 #include "comfreyvane/edge/fleet_view.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <tuple>
 #include <utility>
 
 #include "comfreyvane/base/hash.h"
@@ -53,10 +55,14 @@
     if (found != hosts_.end()) {
       Member member = found->second;
       member.host = host;
+      member.domain = FailureDomainId::Of(host.failure_domain);
       next.emplace(host.id(), std::move(member));
     } else {
       next.emplace(host.id(),
-                   Member{.host = host, .first_seen = now, .listed = listed});
+                   Member{.host = host,
+                          .domain = FailureDomainId::Of(host.failure_domain),
+                          .first_seen = now,
+                          .listed = listed});
     }
   }
   hosts_ = std::move(next);
@@ -210,18 +216,21 @@
   return settled ? share : kFirstSharePart * share;
 }
 
-double FleetView::ColdShare(BackendServerId server) const {
-  std::vector<std::pair<std::uint64_t, HostId>> ranks;
+double FleetView::ColdShare(BackendServerId server,
+                            FailureDomainId domain) const {
+  std::vector<std::tuple<bool, std::uint64_t, HostId>> ranks;
   for (const auto& [id, member] : hosts_) {
-    if (!member.leaving)
-      ranks.emplace_back(HashPair(server.value(), id.value()), id);
+    if (!member.leaving) {
+      ranks.emplace_back(member.domain != domain,
+                         HashPair(server.value(), id.value()), id);
+    }
   }
   const std::size_t owners = std::min(kColdOwners, ranks.size());
   std::partial_sort(ranks.begin(),
                     ranks.begin() + static_cast<std::ptrdiff_t>(owners),
                     ranks.end());
   for (std::size_t i = 0; i < owners; ++i) {
-    if (ranks[i].second == self_.id())
+    if (std::get<HostId>(ranks[i]) == self_.id())
       return 1.0 / static_cast<double>(owners);
   }
   return 0.0;
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -81,15 +81,19 @@
   /// @return this host's part of what all hosts share, 0 to 1.
   [[nodiscard]] double Share(TimePoint now) const;
 
-  /// @return this host's part of what a cold server may get from all hosts;
-  ///     a few hosts, the same in the view of each, have equal parts.
-  [[nodiscard]] double ColdShare(BackendServerId server) const;
+  /// @param domain of the server.
+  /// @return this host's part of what a cold server may get from all hosts; a
+  ///     few hosts, the same in the view of each, have equal parts: those of
+  ///     its failure domain first.
+  [[nodiscard]] double ColdShare(BackendServerId server,
+                                 FailureDomainId domain) const;
 
   [[nodiscard]] std::size_t size() const { return hosts_.size(); }
 
  private:
   struct Member {
     FleetHost host{};
+    FailureDomainId domain{};
     TimePoint first_seen{};  ///< By this host.
     TimePoint listed{};      ///< No later than this.
     TimePoint heard{};
--- a/src/comfreyvane/edge/workspace_limiter.cc
+++ b/src/comfreyvane/edge/workspace_limiter.cc
@@ -14,8 +14,8 @@
 /// still lets one through at a time.
 constexpr double kLeastCapacity = 1.0;
 
-/// Time for whose tokens a bucket has room before they are pooled: the period of
-/// PeerLink's transfers and some delay.
+/// Time for whose tokens a bucket has room before they are pooled: the period
+/// of PeerLink's transfers and some delay.
 constexpr Duration kTransferTime = std::chrono::milliseconds(300);
 
 /// Time after a request in which its workspace counts as in demand: that
@@ -120,14 +120,27 @@
 void WorkspaceLimiter::Receive(WorkspaceId workspace,
                                double tokens,
                                TimePoint now) {
+  // Tokens that were asked for may exceed the capacity for the short time until
+  // they are used.
+  Add(workspace, tokens, tokens, now);
+}
+
+void WorkspaceLimiter::ReceiveSpare(WorkspaceId workspace,
+                                    double tokens,
+                                    TimePoint now) {
+  Add(workspace, tokens, 0.0, now);
+}
+
+void WorkspaceLimiter::Add(WorkspaceId workspace,
+                           double tokens,
+                           double excess,
+                           TimePoint now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end())
     return;
   Bucket& bucket = found->second;
   Refill(bucket, now);
-  // Outside a pool, tokens that were asked for may exceed the capacity for the
-  // short time until they are used or pooled again.
-  const double most = Capacity(bucket, now) + (role_.pools ? 1.0 : tokens);
+  const double most = Capacity(bucket, now) + excess;
   bucket.tokens =
       std::max(bucket.tokens, std::min(bucket.tokens + tokens, most));
 }
@@ -151,11 +164,10 @@
 double WorkspaceLimiter::Capacity(const Bucket& bucket, TimePoint now) const {
   const double all = bucket.burst + kCapacityPart * tolerance_.slack;
   const double between = std::min(all, bucket.rate * Seconds(kTransferTime));
-  const double capacity =
-      role_.pools ? role_.share * all + role_.pooled * (all - between)
-                  : role_.share * between;
   const double least = InDemand(bucket, now) ? kLeastCapacity : 0.0;
-  return std::max(least, capacity);
+  if (!role_.pools)
+    return least + role_.share * between;
+  return std::max(least, role_.share * all + role_.pooled * (all - between));
 }
 
 bool WorkspaceLimiter::InDemand(const Bucket& bucket, TimePoint now) {
--- a/src/comfreyvane/edge/workspace_limiter.h
+++ b/src/comfreyvane/edge/workspace_limiter.h
@@ -88,10 +88,12 @@
   /// Takes out the tokens that recent requests have no use for, to be pooled.
   [[nodiscard]] std::vector<WorkspaceTokens> TakeSpare(TimePoint now);
 
-  /// Puts in tokens that another host has taken out. A pool that is full loses
-  /// them.
+  /// Puts in tokens that another host has taken out since this one was short.
   void Receive(WorkspaceId workspace, double tokens, TimePoint now);
 
+  /// Puts in spare tokens of another host. A pool that is full loses them.
+  void ReceiveSpare(WorkspaceId workspace, double tokens, TimePoint now);
+
   /// @return the time until a token is there.
   [[nodiscard]] Duration UntilToken(WorkspaceId workspace, TimePoint now) const;
 
@@ -107,6 +109,8 @@
   };
 
   [[nodiscard]] double Capacity(const Bucket& bucket, TimePoint now) const;
+  /// @param excess beyond the capacity that may stay.
+  void Add(WorkspaceId workspace, double tokens, double excess, TimePoint now);
   [[nodiscard]] static bool InDemand(const Bucket& bucket, TimePoint now);
   /// @return tokens that a new bucket holds for all hosts together.
   [[nodiscard]] double FirstTokens(const Bucket& bucket) const;
--- a/src/comfreyvane/gateway/backend_call.cc
+++ b/src/comfreyvane/gateway/backend_call.cc
@@ -22,8 +22,9 @@
 /// Part of the idle timeout that a server announces which is relied on.
 constexpr double kAnnouncedPart = 0.6;
 
-/// Time beyond the deadline for an answer that the server gives at it.
-constexpr Duration kAnswerGrace = std::chrono::milliseconds(120);
+/// Time beyond the deadline for an answer that the server gives at it: the way
+/// between regions and some delay.
+constexpr Duration kAnswerGrace = std::chrono::milliseconds(60);
 
 /// Bytes of an answer that are held before any of it is passed on.
 constexpr std::size_t kHeldBytes = 256 * 1024;
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -142,14 +142,15 @@
          {"hosts", context_.fleet.size()}});
     context_.limiter.SetRole(role, now);
   }
-  for (const BackendServerId server : context_.backends.Cold(now)) {
+  for (const BackendServerId server : context_.backends.NeedOwners(now)) {
     const BackendState* const state = context_.backends.Find(server);
     const EdgeService* const service =
         context_.table ? context_.table->FindService(state->entry().service)
                        : nullptr;
     const double rate = service == nullptr ? 0.0 : service->cold_rate;
-    context_.backends.SetColdRate(server,
-                                  rate * context_.fleet.ColdShare(server));
+    const double share =
+        context_.fleet.ColdShare(server, state->entry().failure_domain);
+    context_.backends.SetPart(server, share > 0.0, rate * share);
   }
   context_.backends.Prune();
   calls_.Prune(now);
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -119,7 +119,14 @@
 }
 
 void PeerLink::TakeTokens(const Heartbeat& heartbeat, TimePoint now) {
+  // Hosts of the failure domain give their pool what they have no use for.
+  const bool spare = context_.fleet.PoolsLimits(now) &&
+                     context_.fleet.IsOfDomain(HostId::Of(heartbeat.host));
   for (const WorkspaceTokens& amount : heartbeat.given) {
+    if (spare) {
+      context_.limiter.ReceiveSpare(amount.workspace, amount.tokens, now);
+      continue;
+    }
     context_.limiter.Receive(amount.workspace, amount.tokens, now);
     if (const auto want = wanted_.find(amount.workspace); want != wanted_.end())
       want->second.received = now;
@@ -248,10 +255,7 @@
   });
   Heartbeat heartbeat = Compose(now);
   heartbeat.use = context_.backends.Use();
-  if (context_.fleet.PoolsLimits(now)) {
-    for (const auto& [workspace, want] : wanted_)
-      heartbeat.wanted.push_back({workspace, kWantedOfOthers});
-  }
+  heartbeat.wanted = WantedOfOthers(now);
   const std::string datagram = DatagramOf(heartbeat);
   for (const FleetHost& host : context_.fleet.Peers()) {
     if (context_.fleet.IsNear(host))
@@ -278,12 +282,22 @@
       heartbeat.use = tells_all
                           ? context_.backends.Use()
                           : context_.backends.UseIn(RegionId::Of(host.region));
+      heartbeat.wanted = WantedOfOthers(now);
       datagram->second = DatagramOf(heartbeat);
     }
     SendTo(host, datagram->second);
   }
 }
 
+std::vector<WorkspaceTokens> PeerLink::WantedOfOthers(TimePoint now) const {
+  std::vector<WorkspaceTokens> wanted;
+  if (!context_.fleet.PoolsLimits(now))
+    return wanted;
+  for (const auto& [workspace, want] : wanted_)
+    wanted.push_back({workspace, kWantedOfOthers});
+  return wanted;
+}
+
 Heartbeat PeerLink::Compose(TimePoint now) {
   Heartbeat heartbeat;
   heartbeat.host = context_.settings.name;
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -69,6 +69,9 @@
   void SendNear(TimePoint now);
   /// Sends heartbeats to hosts of other regions.
   void SendFar(TimePoint now);
+  /// @return what this host, if it is a pool, is short of.
+  [[nodiscard]] std::vector<WorkspaceTokens> WantedOfOthers(
+      TimePoint now) const;
   /// @return a heartbeat that tells nothing of the use of servers.
   [[nodiscard]] Heartbeat Compose(TimePoint now);
   [[nodiscard]] std::string DatagramOf(const Heartbeat& heartbeat) const;
--- a/tests/comfreyvane/edge/backend_picker_test.cc
+++ b/tests/comfreyvane/edge/backend_picker_test.cc
@@ -75,6 +75,7 @@
   for (int i = 0; i < 20; ++i)
     Serve(picker, RequestFor(1), milliseconds(50), kStart + seconds(i));
   picker.Upsert(EntryOf("w2", "west-a"), kStart + seconds(30));
+  picker.SetPart(BackendServerId::Of("w2"), true, 0.0);
   const auto choice = picker.Pick(RequestFor(1), kStart + seconds(31));
   cr_expect(choice->server == BackendServerId::Of("w2"));
 }
@@ -124,10 +125,10 @@
   picker.Upsert(EntryOf("w1", "west-a"), kStart);
   picker.SetEvacuated({FailureDomainId::Of("west-a")}, {}, kStart);
   picker.SetEvacuated({}, {{ServiceId::Of("capture"), seconds(3)}}, kStart);
-  cr_expect_eq(picker.Cold(kStart).size(), 1U);
+  cr_expect_eq(picker.NeedOwners(kStart).size(), 1U);
   cr_expect(!picker.Pick(RequestFor(1), kStart).has_value(),
             "without a rate a cold server gets nothing");
-  picker.SetColdRate(BackendServerId::Of("w1"), 4.0);
+  picker.SetPart(BackendServerId::Of("w1"), true, 4.0);
   Started(picker, RequestFor(1), kStart);
   cr_expect(!picker.Pick(RequestFor(1), kStart + milliseconds(100)));
   cr_expect(picker.Pick(RequestFor(1), kStart + milliseconds(260)));
@@ -191,3 +192,64 @@
   }
   cr_expect(before > 0);
 }
+
+namespace {
+
+/// Objects of 1 to 100 whose requests are sent to a server.
+int ObjectsAt(BackendPicker& picker, const char* server, TimePoint now) {
+  int count = 0;
+  for (std::uint64_t object = 1; object <= 100; ++object) {
+    const auto choice = picker.Pick(RequestFor(object), now);
+    count += choice && choice->server == BackendServerId::Of(server) ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace
+
+Test(backend_picker, objects_move_to_a_server_that_joins_over_a_while) {
+  BackendPicker picker = PickerInWest();
+  picker.Upsert(EntryOf("w1", "west-a", 50), kStart);
+  picker.Upsert(EntryOf("w2", "west-a", 50), kStart);
+  Serve(picker, RequestFor(1), milliseconds(50), kStart);
+  const TimePoint joined = kStart + seconds(10);
+  picker.Upsert(EntryOf("w3", "west-a", 50), joined);
+  cr_expect_eq(ObjectsAt(picker, "w3", joined + seconds(10)), 0);
+  const int some = ObjectsAt(picker, "w3", joined + seconds(30));
+  const int all = ObjectsAt(picker, "w3", joined + seconds(50));
+  cr_expect(some > 5 && some < all, "%d of %d", some, all);
+  cr_expect(all > 20, "%d", all);
+}
+
+Test(backend_picker, objects_move_at_once_when_the_others_are_busy) {
+  BackendPicker picker = PickerInWest();
+  picker.Upsert(EntryOf("w1", "west-a", 4), kStart);
+  picker.Upsert(EntryOf("w2", "west-a", 4), kStart);
+  const TimePoint joined = kStart + seconds(10);
+  for (int i = 0; i < 4; ++i)
+    Started(picker, RequestFor(7), joined);
+  picker.Upsert(EntryOf("w3", "west-a", 4), joined);
+  cr_expect(ObjectsAt(picker, "w3", joined) > 20);
+}
+
+Test(backend_picker, a_server_that_joins_is_first_used_by_few_hosts) {
+  BackendPicker picker = PickerInWest();
+  picker.Upsert(EntryOf("w1", "west-a", 50), kStart);
+  Serve(picker, RequestFor(1), milliseconds(50), kStart);
+  const TimePoint joined = kStart + seconds(10);
+  picker.Upsert(EntryOf("w2", "west-a", 50), joined);
+  cr_assert_eq(picker.NeedOwners(joined).size(), 1U);
+  cr_expect_eq(ObjectsAt(picker, "w2", joined), 0, "others introduce it");
+  picker.SetPart(BackendServerId::Of("w2"), true, 0.0);
+  cr_expect_eq(ObjectsAt(picker, "w2", joined), 100);
+  Started(picker, RequestFor(1), joined);
+  cr_expect_eq(ObjectsAt(picker, "w2", joined), 0, "it has been used");
+}
+
+Test(backend_picker,
+     servers_listed_before_the_first_request_are_homes_at_once) {
+  BackendPicker picker = PickerInWest();
+  picker.Upsert(EntryOf("w1", "west-a", 50), kStart);
+  picker.Upsert(EntryOf("w2", "west-a", 50), kStart + seconds(5));
+  cr_expect(ObjectsAt(picker, "w2", kStart + seconds(5)) > 20);
+}
--- a/tests/comfreyvane/edge/fleet_view_test.cc
+++ b/tests/comfreyvane/edge/fleet_view_test.cc
@@ -107,7 +107,7 @@
   for (const FleetHost& self : kHosts) {
     FleetView view(self);
     view.OnListed(kHosts, kStart);
-    sum += view.ColdShare(server);
+    sum += view.ColdShare(server, FailureDomainId::Of("west-a"));
   }
   cr_expect(std::abs(sum - 1.0) < 1e-9);
 }
@@ -189,3 +189,16 @@
   cr_expect(alone.PoolsLimits(kStart) && alone.SharesOfDomain() == 0.0);
   cr_expect(alone.OtherPools(kStart)[0].name == "a2");
 }
+
+Test(fleet_view, hosts_of_its_failure_domain_come_first_at_a_cold_server) {
+  std::vector<FleetHost> hosts = HostsOfDomains();
+  for (int i = 0; i < 5; ++i)
+    hosts.push_back(HostOf("c" + std::to_string(i), "west", "west-c"));
+  const BackendServerId server = BackendServerId::Of("cold");
+  const FailureDomainId domain = FailureDomainId::Of("west-a");
+  for (const FleetHost& host : hosts) {
+    const double share = ViewOf(host, hosts).ColdShare(server, domain);
+    cr_expect_eq(share > 0.0, host.failure_domain == "west-a", "%s",
+                 host.name.c_str());
+  }
+}
--- a/tests/comfreyvane/edge/workspace_limiter_test.cc
+++ b/tests/comfreyvane/edge/workspace_limiter_test.cc
@@ -183,7 +183,7 @@
     for (std::size_t host = 0; host < hosts_.size(); ++host) {
       for (const WorkspaceTokens& spare : hosts_[host].TakeSpare(now)) {
         if (random.Uniform() < kArrive)
-          hosts_[PoolOf(host)].Receive(kKandy, spare.tokens, now);
+          hosts_[PoolOf(host)].ReceiveSpare(kKandy, spare.tokens, now);
       }
     }
   }
@@ -305,3 +305,34 @@
   cr_expect(host.TakeSpare(later).empty());
   cr_expect_eq(TakeAll(host, later), 0);
 }
+
+Test(workspace_limiter, a_full_pool_keeps_what_it_asked_for_and_no_spare) {
+  WorkspaceLimiter pool(kExact);
+  pool.SetRole({0.25, 0.25, true}, kStart);
+  pool.Configure({Limited(8, 16)}, kStart);
+  const TimePoint later = kStart + seconds(60);
+  // Its own share of the burst, and that of others beyond 300 ms of the rate.
+  const int full = TakeAll(pool, later);
+  cr_expect_eq(full, 7);
+  pool.ReceiveSpare(kKandy, 20, later);
+  cr_expect_eq(TakeAll(pool, later), 7);
+  pool.Receive(kKandy, 20, later);
+  cr_expect_eq(TakeAll(pool, later), 20);
+}
+
+Test(workspace_limiter, a_host_in_demand_pools_what_it_does_not_use) {
+  WorkspaceLimiter host(kExact);
+  host.SetRole({0.05, 0.0, false}, kStart);
+  host.Configure({Limited(40, 40)}, kStart);
+  double used = 0.0;
+  for (int step = 0; step < 400; ++step) {
+    const TimePoint now = kStart + milliseconds(50) * step;
+    if (step % 8 == 0)
+      used += host.TryTake(kKandy, now) ? 1.0 : 0.0;
+    if (step % 5 == 0) {
+      for (const WorkspaceTokens& spare : host.TakeSpare(now))
+        used += spare.tokens;
+    }
+  }
+  cr_expect(used >= 38.0, "%g of 40 tokens", used);
+}
