--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -17,6 +17,7 @@
 #include "platform/server_standin.h"
 #include "platform/store_standin.h"
 #include "support/criterion.h"
+#include "support/free_port.h"
 #include "support/loopback_edge.h"
 
 namespace comfreyvane::testing {
@@ -34,13 +35,6 @@
     R"("ColdPerS":8.9}},{"ResourceKind":"Tenants","Metadata":{"Name":"kandy"},)"
     R"("Spec":{"ApiKeys":["k1"],"RatePerS":1000,"Burst":1000}}]})";
 
-/// A free port for tests that run side by side.
-inline std::uint16_t FreePort() {
-  asio::io_context io;
-  tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
-}
-
 /// A stand-in behind a listener on loopback.
 template <typename Handler>
 struct Served {
