--- a/apps/comfreyvane_main.cc
+++ b/apps/comfreyvane_main.cc
@@ -2,7 +2,6 @@
 /// The process on an entry host.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <csignal>
@@ -16,7 +15,7 @@
 #include "comfreyvane/log/log_session.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/settings/load_host_settings.h"
-#include "comfreyvane/settings/settings_errors.h"
+#include "comfreyvane/settings/load_or_explain.h"
 
 namespace {
 
@@ -52,17 +51,11 @@
 }
 
 int LoadAndServe(const std::string& path, bool only_check) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<int> {
-        BOOST_LEAF_AUTO(settings, comfreyvane::LoadHostSettings(path));
-        return only_check ? EXIT_SUCCESS : Serve(settings);
-      },
-      [](const comfreyvane::SettingsErrors& errors) {
-        for (const comfreyvane::SettingsError& error : errors.errors)
-          std::cerr << error << '\n';
-        return kBadSettings;
-      },
-      [] { return kBadSettings; });
+  const auto settings = comfreyvane::LoadOrExplain(
+      [&path] { return comfreyvane::LoadHostSettings(path); }, std::cerr);
+  if (!settings)
+    return kBadSettings;
+  return only_check ? EXIT_SUCCESS : Serve(*settings);
 }
 
 }  // namespace
--- a/apps/gateway_main.cc
+++ b/apps/gateway_main.cc
@@ -2,7 +2,6 @@
 /// The gateway on an entry host.
 #include <unistd.h>
 
-#include <boost/leaf/handle_errors.hpp>
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <exception>
@@ -16,7 +15,7 @@
 #include "comfreyvane/log/bounded_output.h"
 #include "comfreyvane/log/log.h"
 #include "comfreyvane/log/log_session.h"
-#include "comfreyvane/settings/settings_errors.h"
+#include "comfreyvane/settings/load_or_explain.h"
 #include "platform/gateway_platform.h"
 #include "platform/settings_path.h"
 
@@ -55,17 +54,11 @@
 }
 
 int LoadAndServe(const std::string& path, bool only_check) {
-  return boost::leaf::try_handle_all(
-      [&]() -> boost::leaf::result<int> {
-        BOOST_LEAF_AUTO(settings, comfreyvane::LoadGatewaySettings(path));
-        return only_check ? EXIT_SUCCESS : Serve(settings, path);
-      },
-      [](const comfreyvane::SettingsErrors& errors) {
-        for (const comfreyvane::SettingsError& error : errors.errors)
-          std::cerr << error << '\n';
-        return kBadSettings;
-      },
-      [] { return kBadSettings; });
+  const auto settings = comfreyvane::LoadOrExplain(
+      [&path] { return comfreyvane::LoadGatewaySettings(path); }, std::cerr);
+  if (!settings)
+    return kBadSettings;
+  return only_check ? EXIT_SUCCESS : Serve(*settings, path);
 }
 
 }  // namespace
--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -192,6 +192,7 @@
       first = &member.host;
   }
   std::vector<FleetHost> pools;
+  pools.reserve(by_domain.size());
   for (const auto& [domain, host] : by_domain)
     pools.push_back(*host);
   return pools;
--- a/src/comfreyvane/net/peer_authenticator.h
+++ b/src/comfreyvane/net/peer_authenticator.h
@@ -10,7 +10,7 @@
 
 /// Computes and checks message authentication codes (HMAC-SHA256, RFC 2104)
 /// under the fleet's secret, so that no stranger can speak as a host. Messages
-/// are not encrypted: they hold no key of a caller, only hashes.
+/// are not encrypted.
 class PeerAuthenticator {
  public:
   explicit PeerAuthenticator(std::string secret);
