Forget hosts that waited for tokens also while none come

Cause, found by reading the change again: a pool kept each host that it gave too little until tokens arrived, so the list grew without bound while a limit was starved and nothing else was pooled. Change: TokenWaiters, a class of its own, forgets with each host that it adds. What is served, and when, stays as it was.

--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -28,6 +28,7 @@
 class RouteTable;
 class ShareSplitter;
 class SpillRamp;
+class TokenWaiters;
 class WarmthModel;
 class WorkspaceLimiter;
 
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -46,9 +46,6 @@
 /// Part of its tokens that a pool gives to another at most.
 constexpr double kGivenPart = 0.5;
 
-/// Time after which a request that waited for a token has given up.
-constexpr Duration kWaiting = std::chrono::milliseconds(100);
-
 }  // namespace
 
 PeerLink::PeerLink(GatewayState& state,
@@ -147,7 +144,7 @@
     if (tokens > 0) {
       given.push_back({wanted.workspace, tokens});
     } else if (of_domain) {
-      waiting_.push_back({host, wanted, now});
+      waiters_.Add(host, wanted, now);
       static_cast<void>(WantTokens(wanted.workspace, now));
     }
   }
@@ -155,16 +152,16 @@
 }
 
 void PeerLink::ServeWaiting(TimePoint now) {
-  std::erase_if(waiting_, [&](const Waiting& waiting) {
-    if (now - waiting.since > kWaiting)
-      return true;
-    const double tokens = context_.limiter.TakeForPeer(
-        waiting.wanted.workspace, waiting.wanted.tokens, 1.0, now);
-    if (tokens <= 0)
-      return false;
-    Give(waiting.host, {{waiting.wanted.workspace, tokens}}, now);
-    return true;
-  });
+  waiters_.Serve(
+      [&](HostId host, const WorkspaceTokens& wanted) {
+        const double tokens = context_.limiter.TakeForPeer(
+            wanted.workspace, wanted.tokens, 1.0, now);
+        if (tokens <= 0)
+          return false;
+        Give(host, {{wanted.workspace, tokens}}, now);
+        return true;
+      },
+      now);
 }
 
 void PeerLink::Give(HostId host,
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "comfreyvane/edge/peer_use.h"
+#include "comfreyvane/edge/token_waiters.h"
 #include "comfreyvane/gateway/gateway_context.h"
 #include "comfreyvane/gateway/gateway_state.h"
 #include "comfreyvane/gateway/heartbeat.h"
@@ -36,8 +37,8 @@
   /// Sends heartbeats at once.
   void SendNow(TimePoint now);
 
-  /// Asks the pool of the failure domain, or a pool others, for tokens of a
-  /// limit that this host is short of.
+  /// Asks the pool of the failure domain, or other pools if this host is one,
+  /// for tokens of a limit that this host is short of.
   /// @return whether some may come shortly: not if they gave none a moment ago.
   [[nodiscard]] bool WantTokens(WorkspaceId workspace, TimePoint now);
 
@@ -94,16 +95,11 @@
     TimePoint received{};
     bool may_come = true;
   };
-  struct Waiting {
-    HostId host;
-    WorkspaceTokens wanted;
-    TimePoint since{};
-  };
   void AskPool(WorkspaceId workspace, TimePoint now);
   void AskOtherPools(WorkspaceId workspace, TimePoint now);
 
   std::map<WorkspaceId, Want> wanted_;
-  std::vector<Waiting> waiting_;  ///< Hosts that this pool gave too little.
+  TokenWaiters waiters_;
 };
 
 }  // namespace comfreyvane
