Run requests of an object at its home or one overflow server only

Change: ObjectHomes names the home and one overflow server, in another region where there is one; no other server runs the object's requests.

--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -15,7 +15,9 @@
 #include "comfreyvane/edge/backend_state.h"
 #include "comfreyvane/edge/backend_use.h"
 #include "comfreyvane/edge/latency_model.h"
+#include "comfreyvane/edge/object_homes.h"
 #include "comfreyvane/edge/pick_request.h"
+#include "comfreyvane/edge/server_slot.h"
 #include "comfreyvane/edge/spill_ramp.h"
 #include "comfreyvane/edge/warmth_model.h"
 
@@ -23,9 +25,9 @@
 
 /// Chooses the backend server of each request of one host: the one with room
 /// whose answer is expected first. The expectation counts whether the server
-/// has the request's object warm, its speed and load, and the way there. Each
-/// object has a home in each region, by rendezvous hashing, that all hosts take
-/// for warm, so that it is warm at few servers.
+/// has the request's object warm, its speed and load, and the way there. The
+/// requests of an object run at its homes only (see ObjectHomes), so that it is
+/// warm at few servers.
 class BackendPicker {
  public:
   /// Where this host is.
@@ -94,52 +96,28 @@
   [[nodiscard]] std::size_t size() const { return states_.size(); }
 
  private:
-  struct Slot {
-    BackendState state;
-    Distance distance = Distance::kOtherRegion;
-    RegionId region;
-    TimePoint joined{};  ///< Or returned; zero: before the first request.
-    bool introduces = false;
-    double cold_rate = 0.0;
+  /// A server that may run a request.
+  struct Candidate {
+    const ServerSlot* slot = nullptr;
+    double cost = 0.0;  ///< As milliseconds.
+    bool warm = false;  ///< It is taken to have handled the object of late.
+    bool waits = false;
+    Duration expected{};  ///< Time until its answer, without the network.
   };
 
   [[nodiscard]] Distance DistanceOf(FailureDomainId domain) const;
-  [[nodiscard]] bool Usable(const Slot& slot,
-                            const PickRequest& request,
-                            TimePoint now) const;
-  /// @return the time that a request would wait for a slot.
-  [[nodiscard]] static Duration Wait(const Slot& slot, TimePoint now);
-  /// @return what the way to a server costs, as milliseconds.
-  [[nodiscard]] double DistanceCost(const Slot& slot,
-                                    const PickRequest& request) const;
-  /// @param expected time until the answer.
-  /// @return what a request at the server costs, as milliseconds, without the
-  ///     way there.
-  [[nodiscard]] static double Cost(const Slot& slot,
-                                   Duration expected,
+  [[nodiscard]] static bool Usable(const ServerSlot& slot,
+                                   const PickRequest& request,
                                    TimePoint now);
-  /// @return whether a server may be the home of an object.
-  [[nodiscard]] bool MayBeHome(const Slot& slot, TimePoint now) const;
-  /// @return whether a server has been there for long enough to be the home of
-  ///     an object. The objects that move to it do so over a while.
-  [[nodiscard]] static bool IsSettled(const Slot& slot,
-                                      std::uint64_t object,
-                                      TimePoint now);
-  /// @return the server that all hosts of this region take for an object's
-  ///     home, or null.
-  [[nodiscard]] const Slot* HomeOf(const PickRequest& request,
-                                   const std::vector<Slot*>& slots,
-                                   TimePoint now) const;
-  /// @return whether an object of this region is at home in another one.
-  [[nodiscard]] bool IsAbroad(std::uint64_t object,
-                              const std::vector<Slot*>& slots) const;
-  [[nodiscard]] static bool MayRunIn(RegionId region,
-                                     const PickRequest& request);
+  [[nodiscard]] Candidate Weigh(const ServerSlot& slot,
+                                const ObjectHomes& homes,
+                                const PickRequest& request,
+                                TimePoint now) const;
 
   Location self_;
   std::unordered_map<FailureDomainId, RegionId> regions_;
-  std::unordered_map<BackendServerId, std::unique_ptr<Slot>> states_;
-  std::unordered_map<ServiceId, std::vector<Slot*>> by_service_;
+  std::unordered_map<BackendServerId, std::unique_ptr<ServerSlot>> states_;
+  std::unordered_map<ServiceId, std::vector<ServerSlot*>> by_service_;
   std::unordered_set<FailureDomainId> evacuated_;
   LatencyModel latencies_;
   WarmthModel warmth_;
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -95,6 +95,7 @@
     samples_ = 0;
     ejections_in_row_ = 0;
     ejected_until_ = TimePoint{};
+    failing_until_ = TimePoint{};
   }
   if (entry.cold_for > Duration::zero())
     SetCold(entry.cold_for, now);
@@ -193,7 +194,8 @@
 }
 
 void BackendState::Eject(TimePoint now) {
-  ejected_until_ = now + kFirstEjection * (1U << ejections_in_row_);
+  failing_until_ = now + kFirstEjection * (1U << ejections_in_row_);
+  ejected_until_ = failing_until_;
   ejections_in_row_ = std::min(ejections_in_row_ + 1, kMostDoublings);
   samples_ = 0;
 }
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -28,7 +28,11 @@
   [[nodiscard]] bool IsEjected(TimePoint now) const {
     return now < ejected_until_;
   }
-  [[nodiscard]] TimePoint ejected_until() const { return ejected_until_; }
+  /// @return whether it is ejected since it cannot be reached or has failed,
+  ///     and not for having shed a request.
+  [[nodiscard]] bool IsFailing(TimePoint now) const {
+    return now < failing_until_;
+  }
 
   /// @return requests of other hosts that are assumed to run there.
   [[nodiscard]] double Others(TimePoint now) const;
@@ -82,6 +86,7 @@
   std::uint32_t samples_ = 0;
   std::uint32_t ejections_in_row_ = 0;
   TimePoint ejected_until_{};
+  TimePoint failing_until_{};
   TimePoint cold_until_{};
   double cold_tokens_ = 1.0;
   TimePoint cold_updated_{};
--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -13,7 +13,9 @@
 struct EdgeService;
 struct EdgeWorkspace;
 struct FleetHost;
+struct ObjectHomes;
 struct PickRequest;
+struct ServerSlot;
 struct ServiceShare;
 template <typename Item>
 class AdmissionQueue;
--- /dev/null
+++ b/src/comfreyvane/edge/object_homes.cc
@@ -0,0 +1,140 @@
+#include "comfreyvane/edge/object_homes.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <unordered_set>
+
+#include "comfreyvane/base/hash.h"
+
+namespace comfreyvane {
+namespace {
+
+/// Time over which the objects whose home a server that joined will be move to
+/// it, unless the others are busy: each move costs a cold run.
+constexpr Duration kFirstMove = std::chrono::seconds(15);
+constexpr Duration kLastMove = std::chrono::seconds(45);
+
+/// Load of the other servers of the region at which objects move at once.
+constexpr double kBusyLoad = 0.5;
+
+/// Part of its fair share of the servers with which a region counts as large
+/// enough for all of its objects.
+constexpr double kRegionShare = 0.75;
+
+/// Salt of the hash that says which objects of a small region are at home in
+/// others.
+constexpr std::uint64_t kAbroadSalt = 0x61627264;
+
+double Unit(std::uint64_t hash) {
+  return (static_cast<double>(hash >> 11U) + 0.5) * 0x1.0p-53;
+}
+
+std::uint64_t HashOf(const ServerSlot& slot, std::uint64_t object) {
+  return HashPair(slot.state.entry().id().value(), object);
+}
+
+/// The two servers of the highest hash.
+class Ranking {
+ public:
+  void Add(const ServerSlot* slot, std::uint64_t hash) {
+    const Place place{slot, hash};
+    if (first_.slot == nullptr || hash > first_.hash) {
+      second_ = first_;
+      first_ = place;
+    } else if (second_.slot == nullptr || hash > second_.hash) {
+      second_ = place;
+    }
+  }
+
+  [[nodiscard]] const ServerSlot* first() const { return first_.slot; }
+  [[nodiscard]] const ServerSlot* second() const { return second_.slot; }
+
+ private:
+  struct Place {
+    const ServerSlot* slot = nullptr;
+    std::uint64_t hash = 0;
+  };
+  Place first_;
+  Place second_;
+};
+
+bool MayBeHome(const ServerSlot& slot,
+               const PickRequest& request,
+               TimePoint now) {
+  const BackendState& state = slot.state;
+  if (state.leaving() || state.IsCold(now) || state.IsFailing(now) ||
+      slot.evacuated || !request.MayRunIn(slot.region))
+    return false;
+  return std::find(request.excluded.begin(), request.excluded.end(),
+                   state.entry().id()) == request.excluded.end();
+}
+
+/// @return whether a server has been there for long enough to be the home of
+///     an object. The objects that move to it do so over a while.
+bool IsSettled(const ServerSlot& slot, std::uint64_t object, TimePoint now) {
+  if (slot.joined == TimePoint{})
+    return true;
+  const double part = Unit(HashPair(object, slot.state.entry().id().value()));
+  const auto wait = static_cast<Duration::rep>(
+      part * static_cast<double>((kLastMove - kFirstMove).count()));
+  return now - slot.joined >= kFirstMove + Duration(wait);
+}
+
+/// @return whether an object of a region is at home in another one.
+bool IsAbroad(std::uint64_t object,
+              RegionId self,
+              const std::vector<ServerSlot*>& slots) {
+  std::unordered_set<RegionId> regions;
+  double all = 0.0;
+  double own = 0.0;
+  for (const ServerSlot* slot : slots) {
+    if (slot->state.leaving())
+      continue;
+    regions.insert(slot->region);
+    all += 1.0;
+    own += slot->region == self ? 1.0 : 0.0;
+  }
+  const double fair =
+      kRegionShare * all /
+      static_cast<double>(std::max<std::size_t>(1, regions.size()));
+  return own < fair && Unit(HashPair(kAbroadSalt, object)) > own / fair;
+}
+
+}  // namespace
+
+ObjectHomes HomesOf(const PickRequest& request,
+                    RegionId self,
+                    const std::vector<ServerSlot*>& slots,
+                    TimePoint now) {
+  const bool abroad = request.regions.empty()
+                          ? IsAbroad(request.object, self, slots)
+                          : !request.MayRunIn(self);
+  Ranking settled;
+  Ranking any;
+  Ranking elsewhere;
+  double running = 0.0;
+  double settled_slots = 0.0;
+  for (const ServerSlot* slot : slots) {
+    if (!MayBeHome(*slot, request, now))
+      continue;
+    const std::uint64_t hash = HashOf(*slot, request.object);
+    const bool is_settled = IsSettled(*slot, request.object, now);
+    if ((slot->region == self) == abroad) {
+      if (is_settled)
+        elsewhere.Add(slot, hash);
+      continue;
+    }
+    any.Add(slot, hash);
+    if (!is_settled)
+      continue;
+    settled.Add(slot, hash);
+    running += slot->state.own() + slot->state.Others(now);
+    settled_slots += slot->state.entry().slots;
+  }
+  const bool busy = running >= kBusyLoad * settled_slots;
+  const Ranking& near = busy ? any : settled;
+  return {near.first(),
+          elsewhere.first() == nullptr ? near.second() : elsewhere.first()};
+}
+
+}  // namespace comfreyvane
--- a/src/comfreyvane/edge/pick_request.h
+++ b/src/comfreyvane/edge/pick_request.h
@@ -3,6 +3,7 @@
 #ifndef COMFREYVANE_EDGE_PICK_REQUEST_H_
 #define COMFREYVANE_EDGE_PICK_REQUEST_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -23,6 +24,11 @@
   std::vector<RegionId> regions;  ///< Where it may run; empty: anywhere.
   std::vector<BackendServerId> excluded;  ///< Tried already.
 
+  [[nodiscard]] bool MayRunIn(RegionId region) const {
+    return regions.empty() ||
+           std::find(regions.begin(), regions.end(), region) != regions.end();
+  }
+
   friend bool operator==(const PickRequest&, const PickRequest&) = default;
 };
 
--- /dev/null
+++ b/src/comfreyvane/edge/server_slot.h
@@ -0,0 +1,27 @@
+/// @file
+/// A backend server as the choice of a server sees it.
+#ifndef COMFREYVANE_EDGE_SERVER_SLOT_H_
+#define COMFREYVANE_EDGE_SERVER_SLOT_H_
+
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
+#include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/backend_state.h"
+#include "comfreyvane/route/distance.h"
+
+namespace comfreyvane {
+
+/// A backend server as the choice of a server sees it. Part of BackendPicker.
+struct ServerSlot {
+  BackendState state;
+  Distance distance = Distance::kOtherRegion;
+  RegionId region;
+  TimePoint joined{};  ///< Or returned; zero: before the first request.
+  bool evacuated = false;
+  bool introduces = false;  ///< This host is one of those that first use it.
+  double cold_rate = 0.0;   ///< What it gets from here while cold, requests/s.
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_SERVER_SLOT_H_
