--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -17,6 +17,7 @@
 struct PickRequest;
 struct ServerSlot;
 struct ServiceShare;
+struct WaitTerms;
 template <typename Item>
 class AdmissionQueue;
 class BackendPicker;
--- /dev/null
+++ b/src/comfreyvane/edge/wait_policy.cc
@@ -0,0 +1,37 @@
+#include "comfreyvane/edge/wait_policy.h"
+
+#include <algorithm>
+
+namespace comfreyvane {
+namespace {
+
+/// Part of the objective that a request may wait although its answer will be
+/// late anyway.
+constexpr double kLateWaitPart = 0.12;
+
+/// Part of what the objective leaves beside the expected work that a request
+/// may wait.
+constexpr double kWaitPart = 0.8;
+
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(1);
+
+Duration Scaled(Duration span, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(factor * static_cast<double>(span.count())));
+}
+
+}  // namespace
+
+TimePoint GiveUpAt(const WaitTerms& terms) {
+  const Duration wait =
+      std::max(Scaled(terms.objective - terms.work, kWaitPart),
+               Scaled(terms.objective, kLateWaitPart));
+  return std::min(terms.started + wait, terms.deadline);
+}
+
+Duration RetryAfter(Duration expected_wait) {
+  return std::clamp(expected_wait, kLeastRetryAfter, kMostRetryAfter);
+}
+
+}  // namespace comfreyvane
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -1,31 +1,11 @@
 #include "comfreyvane/gateway/gateway_dispatcher.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "comfreyvane/edge/wait_policy.h"
 #include "comfreyvane/net/clock.h"
 
 namespace comfreyvane {
-namespace {
-
-/// Part of the objective that a request may wait although its answer will be
-/// late anyway.
-constexpr double kLateWaitPart = 0.12;
-
-/// Part of what the objective leaves beside the expected work that a request
-/// may wait.
-constexpr double kWaitPart = 0.8;
-
-/// Retry-After of a request that found no room.
-constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
-constexpr Duration kMostRetryAfter = std::chrono::seconds(1);
-
-Duration Scaled(Duration span, double factor) {
-  return Duration(
-      static_cast<Duration::rep>(factor * static_cast<double>(span.count())));
-}
-
-}  // namespace
 
 GatewayDispatcher::GatewayDispatcher(GatewayContext& context,
                                      asio::io_context& io)
@@ -40,7 +20,9 @@
   DrainQueue(service, now);
   if (const auto choice = TryTake(request.pick, now))
     co_return *choice;
-  const TimePoint give_up = GiveUpAt(request);
+  const TimePoint give_up = GiveUpAt(
+      {request.started, request.route->objective,
+       context_.backends.ExpectedWarm(request.pick), request.deadline});
   if (now + queue_.ExpectedWait(service, request.urgency) > give_up)
     co_return NoRoom(request);
   const auto waiter = std::make_shared<GatewayWaiter>(io_, request.pick);
@@ -105,16 +87,7 @@
                                    ? RefusalReason::kQueueFull
                                    : RefusalReason::kNoBackendServer;
   const Duration wait = queue_.ExpectedWait(service, request.urgency);
-  return {reason, RunState::kNotRun,
-          std::clamp(wait, kLeastRetryAfter, kMostRetryAfter)};
-}
-
-TimePoint GatewayDispatcher::GiveUpAt(const GatewayRequest& request) const {
-  const Duration objective = request.route->objective;
-  const Duration work = context_.backends.ExpectedWarm(request.pick);
-  const Duration wait = std::max(Scaled(objective - work, kWaitPart),
-                                 Scaled(objective, kLateWaitPart));
-  return std::min(request.started + wait, request.deadline);
+  return {reason, RunState::kNotRun, RetryAfter(wait)};
 }
 
 void GatewayDispatcher::DrainQueue(ServiceId service, TimePoint now) {
--- a/src/comfreyvane/gateway/gateway_dispatcher.h
+++ b/src/comfreyvane/gateway/gateway_dispatcher.h
@@ -55,7 +55,6 @@
   [[nodiscard]] std::optional<BackendChoice> TryTake(const PickRequest& request,
                                                      TimePoint now);
   [[nodiscard]] Refusal NoRoom(const GatewayRequest& request) const;
-  [[nodiscard]] TimePoint GiveUpAt(const GatewayRequest& request) const;
   void DrainQueue(ServiceId service, TimePoint now);
 
   GatewayContext& context_;
