Follow a store that comes back from an older copy

Cause: a position older than the known one was taken for a late answer and read again for ever, so that nothing was followed once revisions went back; own rows that the copy lacked were not written again, and the fleet would have made a second secret. Change: the era of each answer is decoded once (platform/), feeds, transactions and relay calls carry it. On a new era all tables are read anew, answers of the old one are dropped, rows that the copy lacks stay in force for 2.5 s and are then read again; entries older than the newest one seen, or of servers that have left, are passed over for a minute (EntryHistory); own rows and the secret in use are written again at once. Seen: store_copy tests; with the era ignored changes_after_the_copy_are_followed and a_host_writes_its_rows_again are red.

--- a/src/comfreyvane/edge/backend_entry.h
+++ b/src/comfreyvane/edge/backend_entry.h
@@ -23,6 +23,7 @@
   bool draining = false;
   Duration cold_for{};          ///< From the moment the entry was read.
   std::int64_t started_ms = 0;  ///< Unix time of its start, milliseconds.
+  std::int64_t sequence = 0;    ///< Grows with each entry of one life.
 
   [[nodiscard]] BackendServerId id() const { return BackendServerId::Of(name); }
 
--- a/src/comfreyvane/edge/feed_log.cc
+++ b/src/comfreyvane/edge/feed_log.cc
@@ -13,6 +13,11 @@
   bytes_ = 0;
 }
 
+void FeedLog::Clear() {
+  Restart(Revision());
+  started_ = false;
+}
+
 void FeedLog::Add(const TableFeed& feed) {
   position_ = std::max(position_, feed.position);
   if (feed.rows.empty())
--- a/src/comfreyvane/edge/feed_log.h
+++ b/src/comfreyvane/edge/feed_log.h
@@ -24,6 +24,9 @@
   /// Begins anew after a read of the whole table.
   void Restart(Revision position);
 
+  /// Forgets all; nothing is known until Restart.
+  void Clear();
+
   /// Appends changes.
   /// @param feed that follows the log's position.
   void Add(const TableFeed& feed);
--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -22,6 +22,7 @@
 class AdmissionQueue;
 class BackendPicker;
 class BackendState;
+class EntryHistory;
 class FeedLog;
 class FleetView;
 class LatencyModel;
--- a/src/comfreyvane/gateway/relay_call.h
+++ b/src/comfreyvane/gateway/relay_call.h
@@ -16,7 +16,8 @@
 struct RelayCall {
   /// Differs from one call to the next, so that no earlier answer serves.
   std::uint64_t nonce = 0;
-  Duration wait{};  ///< How long the answer may wait for a change.
+  std::uint64_t era = 0;  ///< Of the store, to which the positions belong.
+  Duration wait{};        ///< How long the answer may wait for a change.
   std::array<Revision, kStoreTables> positions;  ///< By table.
 
   friend bool operator==(const RelayCall&, const RelayCall&) = default;
--- a/src/comfreyvane/gateway/relay_codec.cc
+++ b/src/comfreyvane/gateway/relay_codec.cc
@@ -66,6 +66,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(call.wait);
   std::string target = std::string(kPath) +
                        "?nonce=" + std::to_string(call.nonce) +
+                       "&era=" + std::to_string(call.era) +
                        "&wait_ms=" + std::to_string(wait.count());
   for (const Revision position : call.positions)
     target += "&position=" + std::to_string(position.value());
@@ -84,6 +85,8 @@
       return std::nullopt;
     if (parameter.key == "nonce")
       call.nonce = *number;
+    else if (parameter.key == "era")
+      call.era = *number;
     else if (parameter.key == "wait_ms" && *number <= kMostWaitMs)
       call.wait = std::chrono::milliseconds(*number);
     else if (parameter.key == "position" && positions < kStoreTables)
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "comfreyvane/base/random_source.h"
+#include "comfreyvane/edge/entry_history.h"
 #include "comfreyvane/edge/feed_log.h"
 #include "comfreyvane/edge/registry_tracker.h"
 #include "comfreyvane/gateway/dependency_watch.h"
@@ -85,8 +86,11 @@
 
   /// Takes servers out of use whose entries are gone.
   void OnTick(TimePoint now) {
-    for (const std::string& key : backends_.TakeGone(now))
+    for (const std::string& key : backends_.TakeGone(now)) {
+      history_.OnGone(key, now);
       state_.RemoveBackend(key, now);
+    }
+    history_.Prune(now);
   }
 
  private:
@@ -121,6 +125,10 @@
   /// Changes of a table that are kept for other hosts: many times those of one
   /// held call.
   static constexpr std::size_t kLogBytes = 1024 * 1024;
+  /// Time after a new era of the store in which what was written before it is
+  /// written again: the platform states about two seconds. Until then rows that
+  /// the copy lacks stay in force.
+  static constexpr Duration kRewriteTime = std::chrono::milliseconds(2500);
   /// Time between checks whether this host is listed.
   static constexpr Duration kListPause = std::chrono::milliseconds(1000);
   static constexpr std::string_view kSecretKey = "!secret";
@@ -149,6 +157,9 @@
   }
 
   [[nodiscard]] Duration WaitFor(StoreTable table, TimePoint now) const {
+    const TimePoint again = progress_[IndexOf(table)].read_again;
+    if (again != TimePoint::max())
+      return std::clamp(again - now, kFirstPause, kWait);
     if (table == StoreTable::kHosts)
       return kHostsWait;
     const bool relays = now - asked_ < kFollowed;
@@ -165,8 +176,13 @@
     Duration pause = kFirstPause;
     while (!stopped_) {
       const TimePoint begun = MonotonicNow();
+      if (begun >= progress.read_again) {
+        progress.read_again = TimePoint::max();
+        progress.whole = true;
+      }
       if (!progress.whole && begun < relayed_until_) {
-        co_await PauseUntil(relayed_until_, direct_waiters_);
+        co_await PauseUntil(std::min(relayed_until_, progress.read_again),
+                            direct_waiters_);
         continue;
       }
       const bool whole = progress.whole;
@@ -177,6 +193,8 @@
         feed = co_await store_.Follow(table, progress.position,
                                       WaitFor(table, begun));
       const TimePoint now = MonotonicNow();
+      if (!IsOfEra(feed.era, now))
+        continue;
       if (feed.history_lost) {
         Log(LogLevel::kWarning, "history-lost",
             {{"table", static_cast<int>(table)},
@@ -192,6 +210,8 @@
       }
       OnSuccess(now);
       pause = kFirstPause;
+      if (!whole && progress.whole)
+        continue;
       if (feed.position < progress.position) {
         // Older than what is known: a read of the past.
         co_await Pause(kFirstPause);
@@ -214,11 +234,13 @@
         co_await Pause(kRelayCheck);
         continue;
       }
-      RelayCall call{0, kRelayWait, {}};
+      RelayCall call{0, era_, kRelayWait, {}};
       for (std::size_t i = 0; i < kStoreTables; ++i)
         call.positions[i] = progress_[i].position;
       const RelayAnswer answer = co_await relays_.Ask(*host, call);
       const TimePoint now = MonotonicNow();
+      if (call.era != era_)
+        continue;
       if (answer.status != RelayStatus::kDone) {
         LogRelayFailure(*host, answer.status);
         fleet.OnRelayFailed(host->id(), now);
@@ -271,8 +293,11 @@
     RelayAnswer answer;
     const bool fresh =
         now >= relayed_until_ && !watch_.failing() && now - answered_ <= kFresh;
-    answer.status = fresh ? RelayStatus::kDone : RelayStatus::kNotFresh;
-    for (std::size_t i = 0; fresh && i < kStoreTables; ++i) {
+    if (fresh && call.era < era_)
+      return {RelayStatus::kHistoryLost};
+    const bool current = fresh && call.era == era_;
+    answer.status = current ? RelayStatus::kDone : RelayStatus::kNotFresh;
+    for (std::size_t i = 0; current && i < kStoreTables; ++i) {
       auto feed = progress_[i].log.Since(call.positions[i]);
       if (!feed)
         return {RelayStatus::kHistoryLost};
@@ -281,6 +306,38 @@
     return answer;
   }
 
+  /// Takes in the era of an answer. On a new one all tables are read anew, and
+  /// again when what it lacks has been written again.
+  /// @return whether the answer counts: it is of the era that was known.
+  [[nodiscard]] bool IsOfEra(std::uint64_t era, TimePoint now) {
+    if (era == 0 || era == era_)
+      return true;
+    if (era < era_) {
+      Log(LogLevel::kWarning, "store-answer-of-an-older-era",
+          {{"era", era}, {"known", era_}});
+      return false;
+    }
+    const bool first = era_ == 0;
+    Log(first ? LogLevel::kInfo : LogLevel::kWarning, "store-era",
+        {{"era", era}, {"before", era_}});
+    era_ = era;
+    if (first)
+      return true;
+    state_.context().metrics.Count(CounterName::kTableFailures);
+    backends_.OnStoreFailure(now);
+    relayed_until_ = TimePoint{};
+    copied_until_ = now + EntryHistory::kMemory;
+    for (Progress& progress : progress_) {
+      progress.whole = true;
+      progress.position = Revision();
+      progress.read_again = now + kRewriteTime;
+      progress.log.Clear();
+    }
+    Wake(direct_waiters_);
+    Wake(relay_waiters_);
+    return false;
+  }
+
   void OnSuccess(TimePoint now) {
     answered_ = now;
     if (watch_.failing())
@@ -307,7 +364,10 @@
     progress.whole = false;
     if (whole) {
       progress.log.Restart(feed.position);
-      DropMissing(table, feed, now);
+      if (progress.read_again == TimePoint::max())
+        DropMissing(table, feed, now);
+      else if (table == StoreTable::kHosts)
+        ForgetOwn(feed);
     } else {
       progress.log.Add(feed);
     }
@@ -336,6 +396,19 @@
       Apply(table, TableRow{key, {}, Revision()}, now);
   }
 
+  /// Forgets the rows of this host's own that a copy lacks, so that they are
+  /// written again at once.
+  void ForgetOwn(const TableFeed& feed) {
+    const std::string& self = state_.context().settings.name;
+    for (const std::string& key : {self, std::string(kSecretKey)}) {
+      const bool listed =
+          std::any_of(feed.rows.begin(), feed.rows.end(),
+                      [&key](const TableRow& row) { return row.key == key; });
+      if (!listed)
+        rows_[StoreTable::kHosts].erase(key);
+    }
+  }
+
   void Apply(StoreTable table, const TableRow& row, TimePoint now) {
     const bool deleted = row.revision == Revision();
     if (deleted)
@@ -373,6 +446,14 @@
     }
     const auto decoded = Platform::DecodeBackendRow(row);
     if (const auto* entry = std::get_if<BackendEntry>(&decoded)) {
+      if (now < copied_until_ && history_.IsOutdated(*entry)) {
+        Log(LogLevel::kWarning, "entry-outdated",
+            {{"server", entry->name},
+             {"sequence", entry->sequence},
+             {"era", era_}});
+        return;
+      }
+      history_.OnListed(*entry);
       backends_.OnListed(row.key);
       state_.UpsertBackend(*entry, now);
       return;
@@ -416,8 +497,11 @@
           change.writes.push_back({self.name, text});
         if (!hosts.contains(std::string(kSecretKey))) {
           change.conditions.push_back({std::string(kSecretKey), Revision()});
+          // The one in use is kept when the store has lost it.
           change.writes.push_back(
-              {std::string(kSecretKey), state_.NewSecret()});
+              {std::string(kSecretKey), state_.fleet_secret().empty()
+                                            ? state_.NewSecret()
+                                            : state_.fleet_secret()});
         }
         if (!change.writes.empty())
           co_await CommitHosts(change);
@@ -432,6 +516,8 @@
     const TableOutcome outcome =
         co_await store_.Commit(StoreTable::kHosts, change);
     const TimePoint now = MonotonicNow();
+    if (!IsOfEra(outcome.era, now))
+      co_return;
     if (outcome.status == TableStatus::kDone) {
       // The feed brings the rows; they are not written again until then.
       for (const TableWrite& write : change.writes)
@@ -450,6 +536,8 @@
   struct Progress {
     Revision position;
     bool whole = true;  ///< All rows have to be read.
+    /// When they are read again after a new era; max: not.
+    TimePoint read_again = TimePoint::max();
     FeedLog log{kLogBytes};
   };
 
@@ -463,6 +551,9 @@
   TimePoint relayed_until_{};  ///< Until then the store is not called.
   TimePoint answered_{};       ///< Last answer of the store.
   TimePoint asked_{};          ///< Last call of another host.
+  std::uint64_t era_ = 0;      ///< Of the store; 0: not known.
+  TimePoint copied_until_{};   ///< Entries may be those of an older copy.
+  EntryHistory history_;
   RegistryTracker backends_;
   DependencyWatch watch_{"store"};
   std::map<StoreTable, std::map<std::string, TableRow>> rows_;
--- a/src/comfreyvane/net/http_call.h
+++ b/src/comfreyvane/net/http_call.h
@@ -23,6 +23,7 @@
   std::string target;
   std::string body;
   std::vector<HttpField> fields;
+  std::string wanted_field{};  ///< Of the answer; empty: none.
 
   friend bool operator==(const HttpCall&, const HttpCall&) = default;
 };
@@ -39,6 +40,7 @@
   HttpCallStatus status = HttpCallStatus::kNotReached;
   unsigned http_status = 0;
   std::string body;
+  std::string wanted_field{};  ///< Its value; empty if the answer lacks it.
 
   friend bool operator==(const HttpCallResult&,
                          const HttpCallResult&) = default;
--- a/src/comfreyvane/net/http_client.cc
+++ b/src/comfreyvane/net/http_client.cc
@@ -95,6 +95,7 @@
     connection = co_await Open(deadline);
   if (!connection)
     co_return HttpCallResult{};
+  const std::string wanted_field = std::move(call.wanted_field);
   const auto request = ToRequest(std::move(call), server_);
   connection->watchdog.Arm(deadline);
   const auto [write_error, written] =
@@ -110,8 +111,11 @@
   connection->watchdog.Disarm();
   if (parser.get().keep_alive() && idle_.size() < kIdleConnections)
     idle_.push_back(std::move(connection));
-  co_return HttpCallResult{HttpCallStatus::kAnswered, parser.get().result_int(),
-                           std::move(parser.get().body())};
+  HttpCallResult result{HttpCallStatus::kAnswered, parser.get().result_int(),
+                        std::move(parser.get().body())};
+  if (!wanted_field.empty())
+    result.wanted_field = std::string(parser.get()[wanted_field]);
+  co_return result;
 }
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/storage/table_feed.h
+++ b/src/comfreyvane/storage/table_feed.h
@@ -3,6 +3,7 @@
 #ifndef COMFREYVANE_STORAGE_TABLE_FEED_H_
 #define COMFREYVANE_STORAGE_TABLE_FEED_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "comfreyvane/base/revision.h"
@@ -18,6 +19,9 @@
   /// A row of revision zero was deleted.
   std::vector<TableRow> rows;
   Revision position;  ///< Where to go on.
+  /// Rises when the store comes back from an older copy of its rows; revisions
+  /// of different eras do not compare. 0: the store did not say.
+  std::uint64_t era = 0;
 
   friend bool operator==(const TableFeed&, const TableFeed&) = default;
 };
--- a/src/comfreyvane/storage/table_outcome.h
+++ b/src/comfreyvane/storage/table_outcome.h
@@ -3,6 +3,7 @@
 #ifndef COMFREYVANE_STORAGE_TABLE_OUTCOME_H_
 #define COMFREYVANE_STORAGE_TABLE_OUTCOME_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
   TableStatus status = TableStatus::kUnavailable;
   Revision revision;                ///< Of the written rows, when done.
   std::vector<TableRow> conflicts;  ///< Rows that failed a condition, as read.
+  std::uint64_t era = 0;            ///< See TableFeed.
 
   friend bool operator==(const TableOutcome&, const TableOutcome&) = default;
 };
--- /dev/null
+++ b/tests/comfreyvane/edge/entry_history_test.cc
@@ -0,0 +1,50 @@
+#include "comfreyvane/edge/entry_history.h"
+
+#include "comfreyvane/edge/edge_fixture.h"
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+using namespace comfreyvane::testing;
+
+namespace {
+
+BackendEntry EntryAt(std::int64_t started_ms, std::int64_t sequence) {
+  BackendEntry entry = EntryOf("w1", "west-a");
+  entry.started_ms = started_ms;
+  entry.sequence = sequence;
+  return entry;
+}
+
+}  // namespace
+
+Test(entry_history, what_is_not_known_is_not_outdated) {
+  cr_expect(!EntryHistory().IsOutdated(EntryAt(1, 1)));
+}
+
+Test(entry_history, an_entry_of_a_copy_is_outdated) {
+  EntryHistory history;
+  history.OnListed(EntryAt(5, 7));
+  cr_expect(history.IsOutdated(EntryAt(5, 6)));
+  cr_expect(history.IsOutdated(EntryAt(4, 9)), "of an earlier life");
+  cr_expect(!history.IsOutdated(EntryAt(5, 7)));
+  cr_expect(!history.IsOutdated(EntryAt(5, 8)));
+  cr_expect(!history.IsOutdated(EntryAt(6, 0)), "of a later life");
+}
+
+Test(entry_history, a_server_that_has_gone_comes_back_by_newer_entries_only) {
+  EntryHistory history;
+  history.OnListed(EntryAt(5, 7));
+  history.OnGone("w1", kStart);
+  cr_expect(history.IsOutdated(EntryAt(5, 7)));
+  cr_expect(!history.IsOutdated(EntryAt(5, 8)));
+}
+
+Test(entry_history, forgets_servers_that_have_been_gone_for_long) {
+  EntryHistory history;
+  history.OnListed(EntryAt(5, 7));
+  history.OnGone("w1", kStart);
+  history.Prune(kStart + std::chrono::seconds(30));
+  cr_expect_eq(history.size(), 1U);
+  history.Prune(kStart + std::chrono::minutes(2));
+  cr_expect_eq(history.size(), 0U);
+}
--- a/tests/comfreyvane/gateway/relay_codec_test.cc
+++ b/tests/comfreyvane/gateway/relay_codec_test.cc
@@ -23,6 +23,7 @@
 
 Test(relay_codec, carries_calls) {
   const RelayCall call{7,
+                       3,
                        std::chrono::milliseconds(900),
                        {Revision(1), Revision(2), Revision(1ULL << 63U)}};
   cr_expect(ParseRelayTarget(RelayTarget(call)) == call);
--- /dev/null
+++ b/tests/platform/store_copy_test.cc
@@ -0,0 +1,118 @@
+/// @file
+/// Gateways while the store comes back from an older copy.
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "platform/deployment.h"
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+using namespace comfreyvane::testing;
+
+namespace {
+
+bool Eventually(const std::function<bool()>& holds) {
+  constexpr int kMostTries = 800;
+  for (int i = 0; i < kMostTries; ++i) {
+    if (holds())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+std::string Configuration(const std::string& version, const std::string& path) {
+  std::string text = kConfiguration;
+  text.replace(text.find("00000001"), version.size(), version);
+  text.replace(text.find("/r/"), 3, path);
+  return text;
+}
+
+bool Serves(Deployment& deployment,
+            std::size_t gateway,
+            const std::string& path) {
+  return Eventually([&, id = 0]() mutable {
+    return deployment
+        .Request(path + "ok", path + std::to_string(++id), "k1", gateway)
+        .starts_with("HTTP/1.1 200");
+  });
+}
+
+}  // namespace
+
+Test(store_copy, changes_after_the_copy_are_followed, .timeout = 60) {
+  Deployment deployment(2);
+  deployment.OnStandins([&] {
+    deployment.store.Copy();
+    // The copy is older than what the gateways have read.
+    for (int i = 0; i < 20; ++i)
+      deployment.store.Put("op", "evacuate/elsewhere", "{}");
+  });
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  deployment.OnStandins([&] {
+    deployment.store.ComeBackFromCopy();
+    deployment.store.Put("op", "config", Configuration("00000002", "/q/"));
+  });
+  cr_expect(Serves(deployment, 0, "/q/"));
+  cr_expect(Serves(deployment, 1, "/q/"));
+}
+
+Test(store_copy, a_configuration_does_not_revert, .timeout = 60) {
+  Deployment deployment;
+  deployment.OnStandins([&] {
+    deployment.store.Copy();
+    deployment.store.Put("op", "config", Configuration("00000002", "/q/"));
+  });
+  cr_assert(Serves(deployment, 0, "/q/"));
+  deployment.OnStandins([&] { deployment.store.ComeBackFromCopy(); });
+  for (int i = 0; i < 100; ++i) {
+    const std::string answer =
+        deployment.Request("/q/ok", "after" + std::to_string(i));
+    cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  }
+}
+
+Test(store_copy, a_host_writes_its_rows_again, .timeout = 60) {
+  Deployment deployment;
+  const auto is_listed = [&] {
+    bool listed = false;
+    deployment.OnStandins([&] {
+      listed = deployment.store.Has("hosts", "edge-1") &&
+               deployment.store.Has("hosts", "!secret");
+    });
+    return listed;
+  };
+  cr_assert(Eventually(is_listed));
+  deployment.OnStandins([&] {
+    deployment.store.Delete("hosts", "edge-1");
+    deployment.store.Delete("hosts", "!secret");
+    deployment.store.Copy();
+  });
+  cr_assert(Eventually(is_listed));
+  deployment.OnStandins([&] { deployment.store.ComeBackFromCopy(); });
+  cr_expect(Eventually(is_listed));
+}
+
+Test(store_copy, a_server_that_left_is_not_used_again, .timeout = 60) {
+  Deployment deployment;
+  deployment.OnStandins([&] {
+    deployment.store.Copy();
+    deployment.store.Delete("servers", "i-1");
+  });
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  std::size_t before = 0;
+  deployment.OnStandins([&] {
+    deployment.store.ComeBackFromCopy();
+    before = deployment.first.runs.size();
+  });
+  for (int i = 0; i < 100; ++i) {
+    static_cast<void>(deployment.Request("/r/ok", "late" + std::to_string(i)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  }
+  std::size_t after = 0;
+  deployment.OnStandins([&] { after = deployment.first.runs.size(); });
+  cr_expect_eq(after, before);
+}
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -13,6 +13,7 @@
 #include <boost/url/parse.hpp>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -40,6 +41,14 @@
            const std::string& value) {
     rows_[{table, key}] = {value, ++version_, false};
   }
+  /// Keeps a copy of all rows.
+  void Copy() { copy_ = {rows_, version_}; }
+  /// Comes back from the copy, in a new era.
+  void ComeBackFromCopy() {
+    std::tie(rows_, version_) = copy_;
+    ++era_;
+  }
+
   void Delete(const std::string& table, const std::string& key) {
     rows_[{table, key}] = {"", ++version_, true};
   }
@@ -63,13 +72,16 @@
     typename Exchange::Answer answer;
     answer.version(11);
     answer.result(200);
+    if (era_ > 0)
+      answer.set("Store-Era", std::to_string(era_));
     if (faults.status != 0)
       answer.result(faults.status);
     else if (url->encoded_path() == "/-/rows-get")
       answer.body() = Whole(query["Table"]);
     else if (url->encoded_path() == "/-/rows-tx")
       answer.result(Commit(*body, answer.body()));
-    else if (std::exchange(faults.history_lost, false))
+    else if (std::exchange(faults.history_lost, false) ||
+             std::stoull(query["after"]) > version_)
       answer.result(410);
     else
       answer.body() = co_await HeldChanges(query);
@@ -165,7 +177,9 @@
       std::map<std::string, std::string> query) {
     const std::uint64_t after = std::stoull(query["after"]);
     asio::steady_timer timer(io_);
-    for (int waited = 0; waited < std::stoi(query["WaitMs"]); waited += 10) {
+    const std::uint64_t era = era_;
+    for (int waited = 0; waited < std::stoi(query["WaitMs"]) && era == era_;
+         waited += 10) {
       boost::json::array rows = RowsAfter(query["Table"], after, true);
       if (!rows.empty())
         co_return Answer(std::move(rows));
@@ -207,6 +221,9 @@
   asio::io_context& io_;
   std::map<std::pair<std::string, std::string>, Row> rows_;
   std::uint64_t version_ = 0;
+  std::uint64_t era_ = 1;
+  std::pair<std::map<std::pair<std::string, std::string>, Row>, std::uint64_t>
+      copy_;
 };
 
 }  // namespace comfreyvane::testing
