Read the bounds on shifts, grace and time to live from the settings

They were written as figures (0.05 a second, 6 s, 2 s). The step of the spill ramp follows from the bound on shifts; time to live stays 2 s, below its bound.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -8,9 +8,9 @@
 namespace comfreyvane {
 namespace {
 
-/// Largest change of the part of requests that leave the region, in a second:
-/// a third of the bound of 0.15 in two seconds is left for noise.
-constexpr double kSpillStep = 0.05;
+/// Part of the bound on shifts, which is for two seconds, that is used in each
+/// second: a third of it is left for noise.
+constexpr double kShiftPartPerSecond = 1.0 / 3.0;
 
 /// Time for which failures of servers in the region lift that bound.
 constexpr Duration kSpillRelease = std::chrono::seconds(4);
@@ -37,8 +37,11 @@
 
 BackendPicker::BackendPicker(
     Location self,
-    std::unordered_map<FailureDomainId, RegionId> regions)
-    : self_(self), regions_(std::move(regions)), spill_(kSpillStep) {}
+    std::unordered_map<FailureDomainId, RegionId> regions,
+    double most_shift)
+    : self_(self),
+      regions_(std::move(regions)),
+      spill_(kShiftPartPerSecond * most_shift) {}
 
 void BackendPicker::Upsert(const BackendEntry& entry, TimePoint now) {
   const BackendServerId id = entry.id();
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -37,8 +37,11 @@
   };
 
   /// @param regions region of each failure domain.
+  /// @param most_shift part of the requests that may move to other regions, or
+  ///     back, from one window of two seconds to the next.
   BackendPicker(Location self,
-                std::unordered_map<FailureDomainId, RegionId> regions);
+                std::unordered_map<FailureDomainId, RegionId> regions,
+                double most_shift);
 
   /// Adds a backend server or takes over its changed entry.
   void Upsert(const BackendEntry& entry, TimePoint now);
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -57,7 +57,9 @@
                  Platform::Headers(),
                  {},
                  nullptr,
-                 BackendPicker(LocationOf(settings), DomainsOf(settings)),
+                 BackendPicker(LocationOf(settings),
+                               DomainsOf(settings),
+                               settings.most_shift),
                  FleetView(SelfOf(settings)),
                  WorkspaceLimiter(settings.limits)},
         dispatcher_(context_, io_),
@@ -253,7 +255,7 @@
         [&]() -> boost::leaf::result<bool> {
           BOOST_LEAF_AUTO(settings, LoadGatewaySettings(settings_file_));
           context_.settings.grace = settings.grace;
-          context_.settings.lookup_ttl = settings.lookup_ttl;
+          context_.settings.most_lookup_ttl = settings.most_lookup_ttl;
           context_.settings.retry_ratio = settings.retry_ratio;
           context_.settings.retry_slack = settings.retry_slack;
           return true;
--- a/src/comfreyvane/gateway/gateway_settings.h
+++ b/src/comfreyvane/gateway/gateway_settings.h
@@ -23,18 +23,22 @@
   double processor_share = 1.0;   ///< host.processor_share, part of a core
   /// domains.*: the region of each failure domain.
   std::map<std::string, std::string> domains;
-  Endpoint callers;                               ///< listen.callers
-  Endpoint readiness;                             ///< listen.readiness
-  Endpoint lookups;                               ///< listen.lookups
-  Endpoint peers;                                 ///< listen.peers
-  Endpoint metrics;                               ///< listen.metrics
-  Endpoint platform;                              ///< platform.address
-  LogLevel log_level = LogLevel::kInfo;           ///< log.level
-  Duration grace = std::chrono::seconds(6);       ///< stop.grace_ms
-  Duration lookup_ttl = std::chrono::seconds(2);  ///< lookups.ttl_ms
-  LimitTolerance limits;                          ///< limits.*
-  double retry_ratio = 0.2;                       ///< retries.ratio
-  double retry_slack = 50.0;                      ///< retries.slack
+  Endpoint callers;                          ///< listen.callers
+  Endpoint readiness;                        ///< listen.readiness
+  Endpoint lookups;                          ///< listen.lookups
+  Endpoint peers;                            ///< listen.peers
+  Endpoint metrics;                          ///< listen.metrics
+  Endpoint platform;                         ///< platform.address
+  LogLevel log_level = LogLevel::kInfo;      ///< log.level
+  Duration grace = std::chrono::seconds(6);  ///< stop.grace_s
+  /// lookups.most_ttl_s: how long callers may keep an answer at most.
+  Duration most_lookup_ttl = std::chrono::seconds(5);
+  /// regions.most_shift: part of a region's requests that may move to other
+  /// regions, or back, from one window of two seconds to the next.
+  double most_shift = 0.15;
+  LimitTolerance limits;      ///< limits.*
+  double retry_ratio = 0.2;   ///< retries.ratio
+  double retry_slack = 50.0;  ///< retries.slack
 
   friend bool operator==(const GatewaySettings&,
                          const GatewaySettings&) = default;
--- a/src/comfreyvane/gateway/load_gateway_settings.cc
+++ b/src/comfreyvane/gateway/load_gateway_settings.cc
@@ -54,6 +54,16 @@
   return std::nullopt;
 }
 
+ParseFault ParseSeconds(const std::string& text, Duration& out) {
+  double seconds = 0.0;
+  const ParseFault fault = ParseFraction(text, seconds);
+  if (!fault) {
+    out = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(seconds));
+  }
+  return fault;
+}
+
 template <typename Parser, typename Member>
 Parse Into(Parser parser, Member member) {
   return [=](const std::string& text, GatewaySettings& settings) {
@@ -80,8 +90,9 @@
       {"listen.metrics", false, Into(ParseEndpoint, &S::metrics)},
       {"platform.address", true, Into(ParseEndpoint, &S::platform)},
       {"log.level", false, Into(ParseLevel, &S::log_level)},
-      {"stop.grace_ms", false, Into(ParseTimeout, &S::grace)},
-      {"lookups.ttl_ms", false, Into(ParseTimeout, &S::lookup_ttl)},
+      {"stop.grace_s", false, Into(ParseSeconds, &S::grace)},
+      {"lookups.most_ttl_s", false, Into(ParseSeconds, &S::most_lookup_ttl)},
+      {"regions.most_shift", false, Into(ParseFraction, &S::most_shift)},
       {"limits.overage", false,
        [](const std::string& text, S& settings) {
          return ParseFraction(text, settings.limits.overage);
@@ -92,11 +103,7 @@
        }},
       {"limits.window_s", false,
        [](const std::string& text, S& settings) {
-         double seconds = 0.0;
-         const ParseFault fault = ParseFraction(text, seconds);
-         settings.limits.window = std::chrono::duration_cast<Duration>(
-             std::chrono::duration<double>(seconds));
-         return fault;
+         return ParseSeconds(text, settings.limits.window);
        }},
       {"retries.ratio", false, Into(ParseFraction, &S::retry_ratio)},
       {"retries.slack", false, Into(ParseFraction, &S::retry_slack)},
--- a/src/comfreyvane/gateway/look_up_handler.h
+++ b/src/comfreyvane/gateway/look_up_handler.h
@@ -3,9 +3,11 @@
 #ifndef COMFREYVANE_GATEWAY_LOOK_UP_HANDLER_H_
 #define COMFREYVANE_GATEWAY_LOOK_UP_HANDLER_H_
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -55,6 +57,9 @@
   }
 
  private:
+  /// How long callers may keep an answer, so that they soon learn of hosts that
+  /// leave.
+  static constexpr Duration kLookUpTtl = std::chrono::seconds(2);
   static constexpr unsigned kHttp11 = 11;
   static constexpr std::string_view kMetricsPath = "/metrics";
 
@@ -74,8 +79,8 @@
           query->region, query->failure_domain, context_.leaving, now);
       answer.result(status::ok);
       answer.set(boost::beast::http::field::content_type, "application/json");
-      answer.body() =
-          Dialect::LookUpAnswer(addresses, context_.settings.lookup_ttl);
+      answer.body() = Dialect::LookUpAnswer(
+          addresses, std::min(kLookUpTtl, context_.settings.most_lookup_ttl));
     }
     return answer;
   }
--- a/tests/comfreyvane/edge/backend_picker_test.cc
+++ b/tests/comfreyvane/edge/backend_picker_test.cc
@@ -50,7 +50,7 @@
   std::map<std::uint64_t, BackendServerId> homes;
   for (const char* domain : {"west-a", "west-b"}) {
     BackendPicker picker({FailureDomainId::Of(domain), RegionId::Of("west")},
-                         TwoRegions());
+                         TwoRegions(), kMostShift);
     for (const char* name : {"w1", "w2"})
       picker.Upsert(EntryOf(name, "west-a"), kStart);
     for (const char* name : {"w3", "w4"})
--- a/tests/comfreyvane/edge/edge_fixture.h
+++ b/tests/comfreyvane/edge/edge_fixture.h
@@ -12,6 +12,9 @@
 
 namespace comfreyvane::testing {
 
+/// The platform's bound on shifts.
+inline constexpr double kMostShift = 0.15;
+
 inline constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
 
 /// Two failure domains in region "west", two in "east".
@@ -24,7 +27,7 @@
 
 inline BackendPicker PickerInWest() {
   return BackendPicker({FailureDomainId::Of("west-a"), RegionId::Of("west")},
-                       TwoRegions());
+                       TwoRegions(), kMostShift);
 }
 
 inline BackendEntry EntryOf(const std::string& name,
--- a/tests/comfreyvane/gateway/load_gateway_settings_test.cc
+++ b/tests/comfreyvane/gateway/load_gateway_settings_test.cc
@@ -16,7 +16,9 @@
     "[domains]\nwest-a = west\neast-a = east\n"
     "[listen]\ncallers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\n"
     "lookups = 10.0.0.1:82\npeers = 10.0.0.1:83\n"
-    "[platform]\naddress = 10.0.0.9:90\n[retries]\nratio = 0.2\nslack = 56\n";
+    "[platform]\naddress = 10.0.0.9:90\n[retries]\nratio = 0.2\nslack = 56\n"
+    "[stop]\ngrace_s = 4.5\n[lookups]\nmost_ttl_s = 1\n"
+    "[regions]\nmost_shift = 0.3\n";
 
 struct Loaded {
   GatewaySettings settings;
@@ -52,6 +54,9 @@
   cr_expect(loaded.settings.platform.port == 90);
   cr_expect(loaded.settings.domains.at("east-a") == "east");
   cr_expect_eq(loaded.settings.memory_mb, 260U);
+  cr_expect(loaded.settings.grace == std::chrono::milliseconds(4500));
+  cr_expect(loaded.settings.most_lookup_ttl == std::chrono::seconds(1));
+  cr_expect(loaded.settings.most_shift == 0.3);
 }
 
 Test(load_gateway_settings, names_each_fault_with_its_line) {
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -122,8 +122,7 @@
       << listen("readiness", testing::FreePort())
       << listen("lookups", testing::FreePort())
       << listen("peers", testing::FreePort()) << "[platform]\n"
-      << listen("address", host.store_path->port())
-      << "[stop]\ngrace_ms = 4000\n";
+      << listen("address", host.store_path->port()) << "[stop]\ngrace_s = 4\n";
   hosts_.push_back(std::move(host));
 }
 
--- a/tests/support/edge_day.h
+++ b/tests/support/edge_day.h
@@ -58,6 +58,7 @@
     Duration objective = std::chrono::milliseconds(600);
     Duration patience = std::chrono::milliseconds(2500);
     Duration far_delay = std::chrono::milliseconds(40);  ///< Both ways.
+    double most_shift = 0.15;
     std::uint64_t seed = 1;
   };
 
@@ -129,8 +130,9 @@
       servers_.emplace(id, Server{entry, index, ModelledServer(terms_.server)});
     }
     for (int i = 0; i < region.hosts; ++i) {
-      hosts_.push_back(std::make_unique<Host>(Host{
-          index, BackendPicker({domain, RegionId::Of(region.name)}, domains)}));
+      hosts_.push_back(std::make_unique<Host>(
+          Host{index, BackendPicker({domain, RegionId::Of(region.name)},
+                                    domains, terms_.most_shift)}));
     }
     for (const auto& host : hosts_) {
       for (const auto& [id, server] : servers_)
