--- a/src/comfreyvane/base/time.h
+++ b/src/comfreyvane/base/time.h
@@ -26,6 +26,12 @@
 /// incarnations must not be compared.
 using TimePoint = MonotonicClock::time_point;
 
+/// @return a span times a factor, cut to whole nanoseconds.
+[[nodiscard]] constexpr Duration Scaled(Duration span, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(factor * static_cast<double>(span.count())));
+}
+
 }  // namespace comfreyvane
 
 #endif  // COMFREYVANE_BASE_TIME_H_
--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -28,11 +28,6 @@
   return std::chrono::duration<double, std::milli>(span).count();
 }
 
-Duration Scaled(Duration span, double factor) {
-  return Duration(
-      static_cast<Duration::rep>(factor * static_cast<double>(span.count())));
-}
-
 }  // namespace
 
 BackendPicker::BackendPicker(
--- a/src/comfreyvane/edge/object_homes.cc
+++ b/src/comfreyvane/edge/object_homes.cc
@@ -75,9 +75,7 @@
   if (slot.joined == TimePoint{})
     return true;
   const double part = Unit(HashPair(object, slot.state.entry().id().value()));
-  const auto wait = static_cast<Duration::rep>(
-      part * static_cast<double>((kLastMove - kFirstMove).count()));
-  return now - slot.joined >= kFirstMove + Duration(wait);
+  return now - slot.joined >= kFirstMove + Scaled(kLastMove - kFirstMove, part);
 }
 
 /// @return whether an object of a region is at home in another one.
--- a/src/comfreyvane/edge/server_cost.cc
+++ b/src/comfreyvane/edge/server_cost.cc
@@ -46,8 +46,7 @@
   // Half a request is what the estimate of other hosts' use may be off.
   if (waiting <= 0.5)
     return Duration::zero();
-  return Duration(static_cast<Duration::rep>(
-      waiting / slots * static_cast<double>(slot.state.mean_run().count())));
+  return Scaled(slot.state.mean_run(), waiting / slots);
 }
 
 double DistanceCost(Distance distance, double answer_kb) {
--- a/src/comfreyvane/edge/server_slot.h
+++ b/src/comfreyvane/edge/server_slot.h
@@ -15,7 +15,7 @@
 struct ServerSlot {
   BackendState state;
   Distance distance = Distance::kOtherRegion;
-  RegionId region;
+  RegionId region{};
   TimePoint joined{};  ///< Or returned; zero: before the first request.
   bool evacuated = false;
   bool introduces = false;  ///< This host is one of those that first use it.
--- a/src/comfreyvane/edge/wait_policy.cc
+++ b/src/comfreyvane/edge/wait_policy.cc
@@ -16,11 +16,6 @@
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMostRetryAfter = std::chrono::seconds(1);
 
-Duration Scaled(Duration span, double factor) {
-  return Duration(
-      static_cast<Duration::rep>(factor * static_cast<double>(span.count())));
-}
-
 }  // namespace
 
 TimePoint GiveUpAt(const WaitTerms& terms) {
--- a/src/comfreyvane/route/connection_monitor.cc
+++ b/src/comfreyvane/route/connection_monitor.cc
@@ -11,11 +11,6 @@
 constexpr int kSuspectFactor = 2;
 constexpr std::uint32_t kFailedChecksToLose = 2;
 
-Duration Scaled(Duration span, double factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
-}
-
 }  // namespace
 
 ConnectionMonitor::ConnectionMonitor(ConnectionLimits limits)
--- a/src/comfreyvane/route/probe_planner.cc
+++ b/src/comfreyvane/route/probe_planner.cc
@@ -8,11 +8,6 @@
 
 constexpr double kIntervalJitter = 0.1;
 
-Duration Scaled(Duration span, double factor) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
-}
-
 }  // namespace
 
 ProbePlanner::ProbePlanner(ProbeBudget budget, std::uint64_t seed)
