Ask each question of a server, a row and a text in one place

Found on reading the change again; behaviour stays. Scaled() serves the other casts of edge and gateway. TakeEra was named IsOfEra, though it changes state; what a new era does is ReadAnew.

--- a/src/comfreyvane/edge/admission_queue.h
+++ b/src/comfreyvane/edge/admission_queue.h
@@ -101,8 +101,7 @@
     line.released = now;
     if (gap > kLongestGap)
       return;
-    line.gap += Duration(static_cast<Duration::rep>(
-        kGapGain * static_cast<double>((gap - line.gap).count())));
+    line.gap += Scaled(gap - line.gap, kGapGain);
   }
 
   /// @return how long a request of this urgency would wait, from the rate at
--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -95,9 +95,9 @@
     TimePoint now) {
   for (auto& [id, slot] : states_) {
     const BackendEntry& entry = slot->state.entry();
+    const bool before = slot->evacuated;
     slot->evacuated = domains.contains(entry.failure_domain);
-    const bool returns = evacuated_.contains(entry.failure_domain) &&
-                         !domains.contains(entry.failure_domain);
+    const bool returns = before && !slot->evacuated;
     const auto cold = cold_times.find(entry.service);
     if (!returns)
       continue;
@@ -190,13 +190,9 @@
                            const PickRequest& request,
                            TimePoint now) {
   const BackendState& state = slot.state;
-  if (state.leaving() || state.IsEjected(now) || slot.evacuated ||
-      !HasRoom(slot, now) || !request.MayRunIn(slot.region))
+  if (!slot.MayRun(request) || state.IsEjected(now) || !HasRoom(slot, now))
     return false;
-  if (state.IsCold(now) && !state.HasColdToken(slot.cold_rate, now))
-    return false;
-  return std::find(request.excluded.begin(), request.excluded.end(),
-                   state.entry().id()) == request.excluded.end();
+  return !state.IsCold(now) || state.HasColdToken(slot.cold_rate, now);
 }
 
 bool BackendPicker::OnStarted(const BackendChoice& choice, TimePoint now) {
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -69,9 +69,7 @@
   if (own_ == 0 || silent_since_ > now)
     return false;
   const auto limit =
-      std::max(kLeastSuspectTime,
-               Duration(static_cast<Duration::rep>(
-                   kSuspectFactor * static_cast<double>(expected.count()))));
+      std::max(kLeastSuspectTime, Scaled(expected, kSuspectFactor));
   return now - silent_since_ > limit;
 }
 
@@ -151,8 +149,7 @@
   ejections_in_row_ = 0;
   slowness_ += kSlownessGain * (ratio - slowness_);
   slowness_ = std::clamp(slowness_, kLeastSlowness, kMostSlowness);
-  mean_run_ += Duration(static_cast<Duration::rep>(
-      kSlownessGain * static_cast<double>((latency - mean_run_).count())));
+  mean_run_ += Scaled(latency - mean_run_, kSlownessGain);
   if (object == 0)
     return;
   const auto found = std::find(objects_.begin(), objects_.end(), object);
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -37,6 +37,11 @@
   /// @return requests of other hosts that are assumed to run there.
   [[nodiscard]] double Others(TimePoint now) const;
 
+  /// @return requests of all hosts that are assumed to run or wait there.
+  [[nodiscard]] double Running(TimePoint now) const {
+    return own_ + Others(now);
+  }
+
   /// @return whether it has been silent for too long on a request of this host.
   [[nodiscard]] bool IsSuspect(Duration expected, TimePoint now) const;
 
--- a/src/comfreyvane/edge/object_homes.cc
+++ b/src/comfreyvane/edge/object_homes.cc
@@ -61,12 +61,8 @@
 bool MayBeHome(const ServerSlot& slot,
                const PickRequest& request,
                TimePoint now) {
-  const BackendState& state = slot.state;
-  if (state.leaving() || state.IsCold(now) || state.IsFailing(now) ||
-      slot.evacuated || !request.MayRunIn(slot.region))
-    return false;
-  return std::find(request.excluded.begin(), request.excluded.end(),
-                   state.entry().id()) == request.excluded.end();
+  return slot.MayRun(request) && !slot.state.IsCold(now) &&
+         !slot.state.IsFailing(now);
 }
 
 /// @return whether a server has been there for long enough to be the home of
@@ -126,7 +122,7 @@
     if (!is_settled)
       continue;
     settled.Add(slot, hash);
-    running += slot->state.own() + slot->state.Others(now);
+    running += slot->state.Running(now);
     settled_slots += slot->state.entry().slots;
   }
   const bool busy = running >= kBusyLoad * settled_slots;
--- a/src/comfreyvane/edge/pick_request.h
+++ b/src/comfreyvane/edge/pick_request.h
@@ -29,6 +29,11 @@
            std::find(regions.begin(), regions.end(), region) != regions.end();
   }
 
+  [[nodiscard]] bool HasTried(BackendServerId server) const {
+    return std::find(excluded.begin(), excluded.end(), server) !=
+           excluded.end();
+  }
+
   friend bool operator==(const PickRequest&, const PickRequest&) = default;
 };
 
--- a/src/comfreyvane/edge/server_cost.cc
+++ b/src/comfreyvane/edge/server_cost.cc
@@ -25,10 +25,6 @@
 /// Requests that may wait at a server, for each of its slots.
 constexpr double kWaitingPerSlot = 2.0;
 
-double RunningAt(const ServerSlot& slot, TimePoint now) {
-  return slot.state.own() + slot.state.Others(now);
-}
-
 double SlotsOf(const ServerSlot& slot) {
   return std::max(1U, slot.state.entry().slots);
 }
@@ -37,12 +33,12 @@
 
 bool HasRoom(const ServerSlot& slot, TimePoint now) {
   const double most = (1.0 + kWaitingPerSlot) * SlotsOf(slot);
-  return RunningAt(slot, now) + 1.0 <= most;
+  return slot.state.Running(now) + 1.0 <= most;
 }
 
 Duration ExpectedWait(const ServerSlot& slot, TimePoint now) {
   const double slots = SlotsOf(slot);
-  const double waiting = RunningAt(slot, now) + 1.0 - slots;
+  const double waiting = slot.state.Running(now) + 1.0 - slots;
   // Half a request is what the estimate of other hosts' use may be off.
   if (waiting <= 0.5)
     return Duration::zero();
@@ -64,7 +60,7 @@
 double ServerCost(const ServerSlot& slot, Duration expected, TimePoint now) {
   const double time =
       std::chrono::duration<double, std::milli>(expected).count();
-  const double load = std::min(1.0, RunningAt(slot, now) / SlotsOf(slot));
+  const double load = std::min(1.0, slot.state.Running(now) / SlotsOf(slot));
   double cost = time * (1.0 + kLoadCost * load * load);
   if (slot.state.IsSuspect(expected, now))
     cost += kSuspectCost * time;
--- a/src/comfreyvane/edge/server_slot.h
+++ b/src/comfreyvane/edge/server_slot.h
@@ -7,6 +7,7 @@
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/backend_state.h"
+#include "comfreyvane/edge/pick_request.h"
 #include "comfreyvane/route/distance.h"
 
 namespace comfreyvane {
@@ -20,6 +21,13 @@
   bool evacuated = false;
   bool introduces = false;  ///< This host is one of those that first use it.
   double cold_rate = 0.0;   ///< What it gets from here while cold, requests/s.
+
+  /// @return whether it is in use and a request may run and was not tried
+  /// there.
+  [[nodiscard]] bool MayRun(const PickRequest& request) const {
+    return !state.leaving() && !evacuated && request.MayRunIn(region) &&
+           !request.HasTried(state.entry().id());
+  }
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/backend_call.cc
+++ b/src/comfreyvane/gateway/backend_call.cc
@@ -51,9 +51,7 @@
       std::from_chars(begin, text.data() + text.size(), seconds);
   if (error != std::errc() || end == begin)
     return Duration::max();
-  return Duration(static_cast<Duration::rep>(
-      kAnnouncedPart *
-      static_cast<double>(Duration(std::chrono::seconds(seconds)).count())));
+  return Scaled(std::chrono::seconds(seconds), kAnnouncedPart);
 }
 
 }  // namespace
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -162,9 +162,7 @@
   if (!peers_.WantTokens(workspace, now))
     co_return false;
   const TimePoint give_up =
-      now + Duration(static_cast<Duration::rep>(
-                kTokenWaitPart *
-                static_cast<double>(request.route->objective.count())));
+      now + Scaled(request.route->objective, kTokenWaitPart);
   asio::steady_timer timer(io_);
   while (now < give_up) {
     timer.expires_after(kTokenPoll);
@@ -195,9 +193,8 @@
   if (connect_failures > kMostConnectFailures ||
       request.attempts >= request.route->max_attempts)
     return false;
-  const auto expected =
-      static_cast<double>(context_.backends.ExpectedWarm(request.pick).count());
-  const Duration needed(static_cast<Duration::rep>(kLeastTimePart * expected));
+  const Duration needed =
+      Scaled(context_.backends.ExpectedWarm(request.pick), kLeastTimePart);
   if (now + needed > request.deadline)
     return false;
   if (!context_.poison.MayRun(request.fingerprint, now))
--- a/src/comfreyvane/gateway/message_heads.cc
+++ b/src/comfreyvane/gateway/message_heads.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
-#include <charconv>
 #include <chrono>
 
+#include "comfreyvane/base/number_of.h"
 #include "comfreyvane/net/request_checks.h"
 
 namespace comfreyvane {
@@ -42,16 +42,6 @@
   return text;
 }
 
-template <typename Number>
-std::optional<Number> NumberOf(std::string_view text) {
-  Number value{};
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, value);
-  if (error != std::errc() || stop != end || text.empty())
-    return std::nullopt;
-  return value;
-}
-
 }  // namespace
 
 http::request_header<> HeadToBackend(const http::request_header<>& head,
--- a/src/comfreyvane/gateway/relay_codec.cc
+++ b/src/comfreyvane/gateway/relay_codec.cc
@@ -6,10 +6,10 @@
 #include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
-#include <charconv>
 #include <chrono>
 #include <exception>
 
+#include "comfreyvane/base/number_of.h"
 #include "comfreyvane/net/base64.h"
 
 namespace comfreyvane {
@@ -22,15 +22,6 @@
 /// Longest wait that a caller may ask for.
 constexpr std::uint64_t kMostWaitMs = 10'000;
 
-std::optional<std::uint64_t> NumberOf(std::string_view text) {
-  std::uint64_t number = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, number);
-  if (error != std::errc() || stop != end)
-    return std::nullopt;
-  return number;
-}
-
 json::object FeedObject(const TableFeed& feed) {
   json::array rows;
   for (const TableRow& row : feed.rows) {
@@ -80,7 +71,7 @@
   RelayCall call;
   std::size_t positions = 0;
   for (const auto& parameter : url->params()) {
-    const auto number = NumberOf(parameter.value);
+    const auto number = NumberOf<std::uint64_t>(parameter.value);
     if (!number)
       return std::nullopt;
     if (parameter.key == "nonce")
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -167,8 +167,7 @@
   }
 
   [[nodiscard]] Duration Jittered(Duration span) {
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(span.count()) * (0.5 + random_.Uniform())));
+    return Scaled(span, 0.5 + random_.Uniform());
   }
 
   [[nodiscard]] asio::awaitable<void> Follow(StoreTable table) {
@@ -193,7 +192,7 @@
         feed = co_await store_.Follow(table, progress.position,
                                       WaitFor(table, begun));
       const TimePoint now = MonotonicNow();
-      if (!IsOfEra(feed.era, now))
+      if (!TakeEra(feed.era, now))
         continue;
       if (feed.history_lost) {
         Log(LogLevel::kWarning, "history-lost",
@@ -309,7 +308,7 @@
   /// Takes in the era of an answer. On a new one all tables are read anew, and
   /// again when what it lacks has been written again.
   /// @return whether the answer counts: it is of the era that was known.
-  [[nodiscard]] bool IsOfEra(std::uint64_t era, TimePoint now) {
+  [[nodiscard]] bool TakeEra(std::uint64_t era, TimePoint now) {
     if (era == 0 || era == era_)
       return true;
     if (era < era_) {
@@ -317,12 +316,17 @@
           {{"era", era}, {"known", era_}});
       return false;
     }
-    const bool first = era_ == 0;
-    Log(first ? LogLevel::kInfo : LogLevel::kWarning, "store-era",
-        {{"era", era}, {"before", era_}});
-    era_ = era;
-    if (first)
+    const std::uint64_t before = std::exchange(era_, era);
+    Log(before == 0 ? LogLevel::kInfo : LogLevel::kWarning, "store-era",
+        {{"era", era}, {"before", before}});
+    if (before == 0)
       return true;
+    ReadAnew(now);
+    return false;
+  }
+
+  /// Forgets how far each table is known: the store came back from a copy.
+  void ReadAnew(TimePoint now) {
     state_.context().metrics.Count(CounterName::kTableFailures);
     backends_.OnStoreFailure(now);
     relayed_until_ = TimePoint{};
@@ -335,7 +339,6 @@
     }
     Wake(direct_waiters_);
     Wake(relay_waiters_);
-    return false;
   }
 
   void OnSuccess(TimePoint now) {
@@ -382,14 +385,17 @@
           {{"entries", feed.rows.size()}, {"position", feed.position}});
   }
 
+  [[nodiscard]] static bool Lists(const TableFeed& feed,
+                                  const std::string& key) {
+    return std::any_of(feed.rows.begin(), feed.rows.end(),
+                       [&key](const TableRow& row) { return row.key == key; });
+  }
+
   void DropMissing(StoreTable table, const TableFeed& feed, TimePoint now) {
     auto& known = rows_[table];
     std::vector<std::string> missing;
     for (const auto& [key, row] : known) {
-      const bool listed =
-          std::any_of(feed.rows.begin(), feed.rows.end(),
-                      [&key = key](const TableRow& r) { return r.key == key; });
-      if (!listed)
+      if (!Lists(feed, key))
         missing.push_back(key);
     }
     for (const std::string& key : missing)
@@ -401,10 +407,7 @@
   void ForgetOwn(const TableFeed& feed) {
     const std::string& self = state_.context().settings.name;
     for (const std::string& key : {self, std::string(kSecretKey)}) {
-      const bool listed =
-          std::any_of(feed.rows.begin(), feed.rows.end(),
-                      [&key](const TableRow& row) { return row.key == key; });
-      if (!listed)
+      if (!Lists(feed, key))
         rows_[StoreTable::kHosts].erase(key);
     }
   }
@@ -516,7 +519,7 @@
     const TableOutcome outcome =
         co_await store_.Commit(StoreTable::kHosts, change);
     const TimePoint now = MonotonicNow();
-    if (!IsOfEra(outcome.era, now))
+    if (!TakeEra(outcome.era, now))
       co_return;
     if (outcome.status == TableStatus::kDone) {
       // The feed brings the rows; they are not written again until then.
