Share waits, configurations and entries between the tests of the platform

Eventually and Serves stood in two files, the text of another configuration in two, the entry of a server in two.

--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -35,6 +35,23 @@
     R"("ColdPerS":8.9}},{"ResourceKind":"Tenants","Metadata":{"Name":"kandy"},)"
     R"("Spec":{"ApiKeys":["k1"],"RatePerS":1000,"Burst":1000}}]})";
 
+/// @return the configuration under another version, its reads under a path.
+inline std::string Configuration(const std::string& version,
+                                 const std::string& path) {
+  std::string text = kConfiguration;
+  text.replace(text.find("00000001"), version.size(), version);
+  text.replace(text.find("/r/"), 3, path);
+  return text;
+}
+
+/// @return the entry of a backend server on loopback.
+inline std::string EntryAt(std::uint16_t port) {
+  return R"({"Address":"127.0.0.1:)" + std::to_string(port) +
+         R"(","Info":{"Service":"s","Version":"v1","Zone":"west-a",)"
+         R"("Slots":8},"Status":{"State":"ready","Seq":1,)"
+         R"("ColdRemainingMs":0},"born":1})";
+}
+
 /// A stand-in behind a listener on loopback.
 template <typename Handler>
 struct Served {
@@ -65,8 +82,10 @@
         second_(io_, sweeper_, second) {
     sweeper_.Start();
     store.Put("op", "config", kConfiguration);
-    store.Put("servers", "i-1", Entry(first_.listener.local_endpoint()));
-    store.Put("servers", "i-2", Entry(second_.listener.local_endpoint()));
+    store.Put("servers", "i-1",
+              EntryAt(first_.listener.local_endpoint().port()));
+    store.Put("servers", "i-2",
+              EntryAt(second_.listener.local_endpoint().port()));
     store.Put("servers", "foreign", "{\"Address\":7}");
     standins_thread_ = std::thread([this] { io_.run(); });
     for (std::size_t i = 0; i < gateways; ++i)
@@ -161,13 +180,6 @@
     gateways_.push_back(std::make_unique<RunningGateway>(settings, number + 1));
   }
 
-  [[nodiscard]] static std::string Entry(const tcp::endpoint& endpoint) {
-    return R"({"Address":"127.0.0.1:)" + std::to_string(endpoint.port()) +
-           R"(","Info":{"Service":"s","Version":"v1","Zone":"west-a",)"
-           R"("Slots":8},"Status":{"State":"ready","Seq":1,)"
-           R"("ColdRemainingMs":0},"born":1})";
-  }
-
   void WaitUntilServing(std::size_t gateway) {
     constexpr int kMostTries = 500;
     for (int i = 0; i < kMostTries; ++i) {
--- a/tests/platform/relay_process_test.cc
+++ b/tests/platform/relay_process_test.cc
@@ -1,11 +1,11 @@
 /// @file
 /// Gateways of one failure domain that follow the store through one of them.
 #include <chrono>
-#include <functional>
 #include <string>
 #include <thread>
 
 #include "platform/deployment.h"
+#include "platform/eventually.h"
 #include "support/criterion.h"
 
 using namespace comfreyvane;
@@ -13,45 +13,26 @@
 
 namespace {
 
-bool Eventually(const std::function<bool()>& holds) {
-  constexpr int kMostTries = 1000;
-  for (int i = 0; i < kMostTries; ++i) {
-    if (holds())
-      return true;
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  }
-  return false;
-}
+/// Time for what is waited for: 10 s.
+constexpr int kTries = 1000;
 
 bool FollowsThroughOne(Deployment& deployment) {
-  return Eventually([&] {
-    int held = 0;
-    deployment.OnStandins([&] { held = deployment.store.held["servers"]; });
-    return held == 1;
-  });
+  return Eventually(
+      [&] {
+        int held = 0;
+        deployment.OnStandins([&] { held = deployment.store.held["servers"]; });
+        return held == 1;
+      },
+      kTries);
 }
 
 /// Puts a configuration in which the reads have another path.
 void Configure(Deployment& deployment,
                const std::string& version,
                const std::string& path) {
-  std::string text = kConfiguration;
-  text.replace(text.find("00000001"), version.size(), version);
-  text.replace(text.find("/r/"), 3, path);
-  deployment.OnStandins([&] { deployment.store.Put("op", "config", text); });
-}
-
-bool Serves(Deployment& deployment,
-            std::size_t gateway,
-            const std::string& path) {
-  std::string answer;
-  const bool serves = Eventually([&, id = 0]() mutable {
-    answer = deployment.Request(path + "ok", path + std::to_string(++id), "k1",
-                                gateway);
-    return answer.starts_with("HTTP/1.1 200");
+  deployment.OnStandins([&] {
+    deployment.store.Put("op", "config", Configuration(version, path));
   });
-  cr_expect(serves, "gateway %zu answers: %s", gateway, answer.c_str());
-  return serves;
 }
 
 std::string AskForChanges(Deployment& deployment, const std::string& fields) {
@@ -68,8 +49,8 @@
   Deployment deployment(2);
   cr_assert(FollowsThroughOne(deployment));
   Configure(deployment, "00000002", "/q/");
-  cr_expect(Serves(deployment, 0, "/q/"));
-  cr_expect(Serves(deployment, 1, "/q/"));
+  cr_expect(Serves(deployment, 0, "/q/", kTries));
+  cr_expect(Serves(deployment, 1, "/q/", kTries));
   cr_expect(FollowsThroughOne(deployment));
 }
 
@@ -80,7 +61,7 @@
   cr_assert(FollowsThroughOne(deployment));
   deployment.StopGateway(0);
   Configure(deployment, "00000002", "/q/");
-  cr_expect(Serves(deployment, 1, "/q/"));
+  cr_expect(Serves(deployment, 1, "/q/", kTries));
 }
 
 Test(relay_process,
@@ -95,8 +76,8 @@
     deployment.store.faults = {};
     deployment.store.faults.history_lost = true;
   });
-  cr_expect(Serves(deployment, 0, "/q/"));
-  cr_expect(Serves(deployment, 1, "/q/"));
+  cr_expect(Serves(deployment, 0, "/q/", kTries));
+  cr_expect(Serves(deployment, 1, "/q/", kTries));
 }
 
 Test(relay_process, strangers_get_no_changes, .timeout = 60) {
--- a/tests/platform/server_trouble_test.cc
+++ b/tests/platform/server_trouble_test.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "platform/deployment.h"
+#include "platform/eventually.h"
 #include "platform/raw_server.h"
 #include "support/criterion.h"
 
@@ -18,17 +19,15 @@
 /// The deadline of a request is 1.5 s; the rest is for slow machines.
 constexpr auto kAnswered = std::chrono::seconds(4);
 
+/// Time for the end of a connection: 3 s.
+constexpr int kTries = 300;
+
 /// Makes a raw server the only one of the service.
 void UseOnly(Deployment& deployment, const RawServer& server) {
   deployment.OnStandins([&] {
     deployment.store.Delete("servers", "i-1");
     deployment.store.Delete("servers", "i-2");
-    deployment.store.Put(
-        "servers", "i-3",
-        R"({"Address":"127.0.0.1:)" + std::to_string(server.port()) +
-            R"(","Info":{"Service":"s","Version":"v1","Zone":"west-a",)"
-            R"("Slots":8},"Status":{"State":"ready","Seq":1,)"
-            R"("ColdRemainingMs":0},"born":1})");
+    deployment.store.Put("servers", "i-3", EntryAt(server.port()));
   });
   std::this_thread::sleep_for(std::chrono::seconds(1));
 }
@@ -38,12 +37,6 @@
          "\r\nX-Server-Seal: seal\r\n" + fields + "\r\n";
 }
 
-bool HasEnded(const RawServer& server) {
-  for (int i = 0; i < 300 && server.ended() == 0; ++i)
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  return server.ended() > 0;
-}
-
 /// Sends one request that may not repeat to a server that follows a script.
 struct Trial {
   explicit Trial(RawServer::Script script) : server(std::move(script)) {
@@ -52,7 +45,8 @@
     const auto begun = Clock::now();
     answer = deployment.Request("/w/x", "once");
     took = Clock::now() - begun;
-    connection_closed = HasEnded(server);
+    connection_closed =
+        Eventually([this] { return server.ended() > 0; }, kTries);
   }
 
   RawServer server;
--- a/tests/platform/store_copy_test.cc
+++ b/tests/platform/store_copy_test.cc
@@ -1,11 +1,11 @@
 /// @file
 /// Gateways while the store comes back from an older copy.
 #include <chrono>
-#include <functional>
 #include <string>
 #include <thread>
 
 #include "platform/deployment.h"
+#include "platform/eventually.h"
 #include "support/criterion.h"
 
 using namespace comfreyvane;
@@ -13,32 +13,8 @@
 
 namespace {
 
-bool Eventually(const std::function<bool()>& holds) {
-  constexpr int kMostTries = 800;
-  for (int i = 0; i < kMostTries; ++i) {
-    if (holds())
-      return true;
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  }
-  return false;
-}
-
-std::string Configuration(const std::string& version, const std::string& path) {
-  std::string text = kConfiguration;
-  text.replace(text.find("00000001"), version.size(), version);
-  text.replace(text.find("/r/"), 3, path);
-  return text;
-}
-
-bool Serves(Deployment& deployment,
-            std::size_t gateway,
-            const std::string& path) {
-  return Eventually([&, id = 0]() mutable {
-    return deployment
-        .Request(path + "ok", path + std::to_string(++id), "k1", gateway)
-        .starts_with("HTTP/1.1 200");
-  });
-}
+/// Time for what is waited for: 8 s.
+constexpr int kTries = 800;
 
 }  // namespace
 
@@ -55,8 +31,8 @@
     deployment.store.ComeBackFromCopy();
     deployment.store.Put("op", "config", Configuration("00000002", "/q/"));
   });
-  cr_expect(Serves(deployment, 0, "/q/"));
-  cr_expect(Serves(deployment, 1, "/q/"));
+  cr_expect(Serves(deployment, 0, "/q/", kTries));
+  cr_expect(Serves(deployment, 1, "/q/", kTries));
 }
 
 Test(store_copy, a_configuration_does_not_revert, .timeout = 60) {
@@ -65,7 +41,7 @@
     deployment.store.Copy();
     deployment.store.Put("op", "config", Configuration("00000002", "/q/"));
   });
-  cr_assert(Serves(deployment, 0, "/q/"));
+  cr_assert(Serves(deployment, 0, "/q/", kTries));
   deployment.OnStandins([&] { deployment.store.ComeBackFromCopy(); });
   for (int i = 0; i < 100; ++i) {
     const std::string answer =
@@ -85,15 +61,15 @@
     });
     return listed;
   };
-  cr_assert(Eventually(is_listed));
+  cr_assert(Eventually(is_listed, kTries));
   deployment.OnStandins([&] {
     deployment.store.Delete("hosts", "edge-1");
     deployment.store.Delete("hosts", "!secret");
     deployment.store.Copy();
   });
-  cr_assert(Eventually(is_listed));
+  cr_assert(Eventually(is_listed, kTries));
   deployment.OnStandins([&] { deployment.store.ComeBackFromCopy(); });
-  cr_expect(Eventually(is_listed));
+  cr_expect(Eventually(is_listed, kTries));
 }
 
 Test(store_copy, a_server_that_left_is_not_used_again, .timeout = 60) {
