Record the request limits that backend servers name, and log their changes

The logs of the incident cannot tell a host that reads a server's limit and does nothing from one that does not read it. The platform's adapter now decodes the field, each host records it by server, logs server-limit-learned, -changed and -expired, and attempt-ended names the limit of each answer. Nothing is decided by it yet.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -252,6 +252,16 @@
     overflow_limiter_.SuspendUntil(now + kOverflowSuspension);
 }
 
+LimitChange BackendPicker::OnNamedLimit(BackendServerId server,
+                                        const NamedLimit& named,
+                                        TimePoint sent_at,
+                                        TimePoint now) {
+  const auto found = states_.find(server);
+  return found == states_.end()
+             ? LimitChange{}
+             : found->second->limit.OnAnswer(named, sent_at, now);
+}
+
 void BackendPicker::OnLoad(BackendServerId server,
                            const LoadReport& report,
                            TimePoint now) {
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -15,6 +15,8 @@
 #include "comfreyvane/edge/backend_state.h"
 #include "comfreyvane/edge/backend_use.h"
 #include "comfreyvane/edge/latency_model.h"
+#include "comfreyvane/edge/limit_change.h"
+#include "comfreyvane/edge/named_limit.h"
 #include "comfreyvane/edge/object_homes.h"
 #include "comfreyvane/edge/overflow_limiter.h"
 #include "comfreyvane/edge/pick_request.h"
@@ -87,6 +89,14 @@
                   std::size_t answer_bytes,
                   TimePoint now);
 
+  /// Records the request limit that an answer of a server names.
+  /// @param sent_at when the answered request was sent.
+  /// @return how the known limit of the server has changed.
+  [[nodiscard]] LimitChange OnNamedLimit(BackendServerId server,
+                                         const NamedLimit& named,
+                                         TimePoint sent_at,
+                                         TimePoint now);
+
   void OnLoad(BackendServerId server, const LoadReport& report, TimePoint now);
   /// @param use running requests of all other hosts, summed by server.
   void OnPeerUse(const std::vector<BackendUse>& use, TimePoint now);
--- a/src/comfreyvane/edge/server_slot.h
+++ b/src/comfreyvane/edge/server_slot.h
@@ -8,6 +8,7 @@
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/backend_state.h"
 #include "comfreyvane/edge/pick_request.h"
+#include "comfreyvane/edge/server_limit.h"
 #include "comfreyvane/route/distance.h"
 
 namespace comfreyvane {
@@ -23,6 +24,7 @@
   /// This host is one of the few that send it its first requests.
   bool is_initial_sender = false;
   double cold_rate = 0.0;  ///< Requests/s from this host while cold.
+  ServerLimit limit{};
 
   /// @return whether the server is in use and the request may run there and has
   ///     not been tried there yet.
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -247,6 +247,9 @@
   const auto& head = *result.head;
   const unsigned status = head.result_int();
   result.load = LoadOf(head, context_.headers);
+  // Answers with this status come from another server at the same address.
+  if (status != kMisdirected)
+    result.limit = context_.named_limit_of(head);
   const bool not_run =
       head.count(context_.headers.not_run) > 0 || status == kMisdirected;
   if (not_run) {
--- a/src/comfreyvane/gateway/call_result.h
+++ b/src/comfreyvane/gateway/call_result.h
@@ -9,6 +9,7 @@
 
 #include "comfreyvane/base/refusal_reason.h"
 #include "comfreyvane/base/run_state.h"
+#include "comfreyvane/edge/named_limit.h"
 #include "comfreyvane/net/backend_connection.h"
 #include "comfreyvane/route/load_report.h"
 #include "comfreyvane/route/request_outcome.h"
@@ -32,6 +33,8 @@
   bool closed_mid_request =
       false;  ///< The server closed after it got the request.
   std::optional<LoadReport> load;
+  /// Limit that the server names; nothing without an answer of this server.
+  std::optional<NamedLimit> limit;
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -3,11 +3,13 @@
 #ifndef COMFREYVANE_GATEWAY_GATEWAY_CONTEXT_H_
 #define COMFREYVANE_GATEWAY_GATEWAY_CONTEXT_H_
 
+#include <boost/beast/http/message.hpp>
 #include <memory>
 #include <unordered_map>
 
 #include "comfreyvane/edge/backend_picker.h"
 #include "comfreyvane/edge/fleet_view.h"
+#include "comfreyvane/edge/named_limit.h"
 #include "comfreyvane/edge/poison_request_tracker.h"
 #include "comfreyvane/edge/route_table.h"
 #include "comfreyvane/edge/share_splitter.h"
@@ -24,10 +26,15 @@
 inline constexpr double kAttemptLinesPerSecond = 150.0;
 inline constexpr double kRefusalLinesPerSecond = 150.0;
 
+/// Reads the request limit that a backend server names in its answer's head.
+using LimitDecoder =
+    NamedLimit (*)(const boost::beast::http::response_header<>& head);
+
 /// State shared by the components of a gateway. Used by one thread.
 struct GatewayContext {
   GatewaySettings settings;
   HeaderNames headers;
+  LimitDecoder named_limit_of;
   MetricsRegistry metrics{};
   std::shared_ptr<const RouteTable> table;  ///< Null until one is received.
   BackendPicker backends;
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "comfreyvane/base/hash.h"
+#include "comfreyvane/gateway/limit_log.h"
 #include "comfreyvane/gateway/message_heads.h"
 #include "comfreyvane/log/log.h"
 
@@ -225,6 +226,7 @@
     context_.poison.OnAnswered(request.fingerprint);
   if (result.load)
     dispatcher_.OnLoad(choice.server, *result.load, now);
+  RecordLimit(choice.server, result, now - latency, now);
   if (!context_.attempt_lines.TryTake(now))
     return;
   const BackendState* const state = context_.backends.Find(choice.server);
@@ -240,6 +242,7 @@
        {"status", result.head ? result.head->result_int() : 0U},
        {"reason",
         result.head ? std::string_view("answered") : Name(result.reason)},
+       {"limit", result.limit ? result.limit->rate : 0.0},
        {"running", state == nullptr ? 0U : state->own_running()},
        {"others", state == nullptr ? 0.0 : state->OthersRunning(now)},
        {"waited_ms", now - request.started - latency},
@@ -247,6 +250,25 @@
        {"expected_ms", choice.expected}});
 }
 
+void GatewayHandler::RecordLimit(BackendServerId server,
+                                 const CallResult& result,
+                                 TimePoint sent_at,
+                                 TimePoint now) {
+  if (!result.limit)
+    return;
+  // A server that did not run a request says nothing about the end of a limit.
+  if (result.limit->state == NamedLimit::State::kAbsent &&
+      result.run_state != RunState::kRan)
+    return;
+  const LimitChange change =
+      context_.backends.OnNamedLimit(server, *result.limit, sent_at, now);
+  const BackendState* const state = context_.backends.Find(server);
+  if (state != nullptr)
+    LogLimitChange(state->entry().name, change, "answer");
+  if (result.limit->state == NamedLimit::State::kUnreadable)
+    Log(LogLevel::kWarning, "server-limit-unreadable", {{"server", server}});
+}
+
 void GatewayHandler::RecordRefusal(const GatewayRequest& request,
                                    const Refusal& refusal,
                                    TimePoint now) {
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -109,6 +109,12 @@
                      const CallResult& result,
                      Duration latency,
                      TimePoint now);
+  /// Applies the limit that an answer names, and logs a change.
+  /// @param sent_at when the answered request was sent.
+  void RecordLimit(BackendServerId server,
+                   const CallResult& result,
+                   TimePoint sent_at,
+                   TimePoint now);
   void RecordRefusal(const GatewayRequest& request,
                      const Refusal& refusal,
                      TimePoint now);
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -55,6 +55,7 @@
         sweeper_(io_),
         context_{settings,
                  Platform::Headers(),
+                 Platform::NamedLimitOf,
                  {},
                  nullptr,
                  BackendPicker(LocationOf(settings),
--- a/tests/platform/gateway_platform_test.cc
+++ b/tests/platform/gateway_platform_test.cc
@@ -24,3 +24,17 @@
   cr_expect(GatewayPlatform::IsReadinessCall("/-/ready"));
   cr_expect(!GatewayPlatform::IsReadinessCall("/-/ready/"));
 }
+
+Test(gateway_platform, reads_the_limit_that_an_answer_names) {
+  const auto named = [](const char* value) {
+    boost::beast::http::response_header<> head;
+    head.set("server-limit", value);
+    return GatewayPlatform::NamedLimitOf(head);
+  };
+  cr_expect(GatewayPlatform::NamedLimitOf({}) == NamedLimit{});
+  cr_expect(named("2.4") == NamedLimit({NamedLimit::State::kNamed, 2.4}));
+  cr_expect(named("3") == NamedLimit({NamedLimit::State::kNamed, 3.0}));
+  cr_expect(named("0") == NamedLimit({NamedLimit::State::kNamed, 0.0}));
+  for (const char* text : {"", "x", "-1", "2.4.1", "2 per s", "nan", "inf"})
+    cr_expect(named(text).state == NamedLimit::State::kUnreadable, "%s", text);
+}
