Keep all hosts together within the connections that a server accepts

Each request of a host has a connection of its own, so a host now runs at most its equal part of them at a server. The test is red without the check (300 connections of each host where 20 were allowed in all) and green with it. Fleets with more hosts than connections still get one a host.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -1,6 +1,7 @@
 #include "comfreyvane/edge/backend_picker.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "comfreyvane/edge/server_cost.h"
@@ -62,6 +63,7 @@
     if (before != entry.service) {
       std::erase(by_service_[before], &slot);
       by_service_[entry.service].push_back(&slot);
+      ApplyMaxConnections(slot);
     }
     return;
   }
@@ -69,6 +71,7 @@
       ServerSlot{BackendState(entry, now), DistanceOf(entry.failure_domain),
                  region_id, has_sent_ ? now : TimePoint{},
                  evacuated_.contains(entry.failure_domain)});
+  ApplyMaxConnections(*slot);
   by_service_[entry.service].push_back(slot.get());
   states_.emplace(id, std::move(slot));
 }
@@ -128,6 +131,22 @@
   found->second->cold_rate = cold_rate;
 }
 
+void BackendPicker::SetMaxConnections(
+    std::unordered_map<ServiceId, std::uint32_t> max_connections) {
+  if (max_connections == max_connections_)
+    return;
+  max_connections_ = std::move(max_connections);
+  for (auto& [id, slot] : states_)
+    ApplyMaxConnections(*slot);
+}
+
+void BackendPicker::ApplyMaxConnections(ServerSlot& slot) const {
+  const auto found = max_connections_.find(slot.state.entry().service);
+  slot.max_connections = found == max_connections_.end()
+                             ? std::numeric_limits<std::uint32_t>::max()
+                             : found->second;
+}
+
 std::optional<BackendChoice> BackendPicker::Pick(const PickRequest& request,
                                                  TimePoint now) const {
   const auto found = by_service_.find(request.service);
@@ -203,7 +222,7 @@
                              TimePoint now) {
   const BackendState& state = slot.state;
   if (!slot.MayRun(request) || state.IsEjected(now) || !HasRoom(slot, now) ||
-      !slot.limit.CanSend(now))
+      !slot.HasConnection() || !slot.limit.CanSend(now))
     return false;
   return !state.IsCold(now) || state.HasColdToken(slot.cold_rate, now);
 }
@@ -215,7 +234,7 @@
   ServerSlot& slot = *found->second;
   if (slot.state.is_leaving() || slot.is_evacuated)
     return false;
-  if (!slot.limit.CanSend(now))
+  if (!slot.HasConnection() || !slot.limit.CanSend(now))
     return false;
   if (slot.state.IsCold(now) && !slot.state.TakeColdToken(slot.cold_rate, now))
     return false;
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -70,6 +70,11 @@
                  bool is_initial_sender,
                  double cold_rate);
 
+  /// Sets how many connections this host may have to each server of a service.
+  /// A service that is not listed has no limit.
+  void SetMaxConnections(
+      std::unordered_map<ServiceId, std::uint32_t> max_connections);
+
   /// Selects the server for a request. The request is not counted until
   /// OnStarted is called.
   /// @return nothing if no server has free capacity.
@@ -154,6 +159,7 @@
 
   [[nodiscard]] static LimitReport ReportOf(const ServerSlot& slot,
                                             TimePoint now);
+  void ApplyMaxConnections(ServerSlot& slot) const;
   [[nodiscard]] Distance DistanceOf(FailureDomainId domain) const;
   [[nodiscard]] static bool IsUsable(const ServerSlot& slot,
                                      const PickRequest& request,
@@ -168,6 +174,7 @@
   std::unordered_map<BackendServerId, std::unique_ptr<ServerSlot>> states_;
   std::unordered_map<ServiceId, std::vector<ServerSlot*>> by_service_;
   std::unordered_set<FailureDomainId> evacuated_;
+  std::unordered_map<ServiceId, std::uint32_t> max_connections_;
   LatencyModel latencies_;
   WarmthModel warmth_;
   bool has_sent_ = false;
--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -216,6 +216,11 @@
   return IsSettled(found->second, now) ? share : kInitialShareFraction * share;
 }
 
+std::uint32_t FleetView::ConnectionShare(std::uint32_t max) const {
+  const std::size_t hosts = std::max<std::size_t>(1, hosts_.size());
+  return std::max(1U, static_cast<std::uint32_t>(max / hosts));
+}
+
 bool FleetView::IsSettled(const Member& self, TimePoint now) {
   return now - self.listed_at >= kShareDelay;
 }
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -83,6 +83,10 @@
   /// @return the sum of the shares of the other hosts of this failure domain.
   [[nodiscard]] double OtherSharesInDomain() const;
 
+  /// @param max connections that a server accepts from all hosts together.
+  /// @return this host's part of them, at least one.
+  [[nodiscard]] std::uint32_t ConnectionShare(std::uint32_t max) const;
+
   /// @return this host's share of each limit, 0 to 1.
   [[nodiscard]] double Share(TimePoint now) const;
 
--- a/src/comfreyvane/edge/route_table.h
+++ b/src/comfreyvane/edge/route_table.h
@@ -32,6 +32,9 @@
 
   [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] const std::vector<EdgeRoute>& routes() const { return routes_; }
+  [[nodiscard]] const std::vector<EdgeService>& services() const {
+    return services_;
+  }
   [[nodiscard]] const std::vector<EdgeWorkspace>& workspaces() const {
     return workspaces_;
   }
--- a/src/comfreyvane/edge/server_slot.h
+++ b/src/comfreyvane/edge/server_slot.h
@@ -3,6 +3,9 @@
 #ifndef COMFREYVANE_EDGE_SERVER_SLOT_H_
 #define COMFREYVANE_EDGE_SERVER_SLOT_H_
 
+#include <cstdint>
+#include <limits>
+
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/base/time.h"
@@ -25,6 +28,13 @@
   bool is_initial_sender = false;
   double cold_rate = 0.0;  ///< Requests/s from this host while cold.
   ServerLimit limit{};
+  /// Requests that this host may run there at once; each has a connection.
+  std::uint32_t max_connections = std::numeric_limits<std::uint32_t>::max();
+
+  /// @return whether another request of this host may have a connection.
+  [[nodiscard]] bool HasConnection() const {
+    return state.own_running() < max_connections;
+  }
 
   /// @return whether the server is in use and the request may run there and has
   ///     not been tried there yet.
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -145,6 +145,19 @@
   return text;
 }
 
+std::unordered_map<ServiceId, std::uint32_t> GatewayState::ConnectionShares()
+    const {
+  std::unordered_map<ServiceId, std::uint32_t> shares;
+  if (!context_.table)
+    return shares;
+  for (const EdgeService& service : context_.table->services()) {
+    if (service.max_connections > 0)
+      shares.emplace(ServiceId::Of(service.name),
+                     context_.fleet.ConnectionShare(service.max_connections));
+  }
+  return shares;
+}
+
 void GatewayState::OnTick(TimePoint now) {
   const bool is_pool = context_.fleet.IsLimitPool(now);
   const LimitRole role{context_.fleet.Share(now),
@@ -169,6 +182,7 @@
         context_.fleet.ColdShare(server, state->entry().failure_domain);
     context_.backends.SetRampUp(server, share > 0.0, rate * share);
   }
+  context_.backends.SetMaxConnections(ConnectionShares());
   for (const BackendServerId server : context_.backends.LimitedServers()) {
     const BackendEntry& entry = context_.backends.Find(server)->entry();
     context_.backends.SetLimitRank(
--- a/src/comfreyvane/gateway/gateway_state.h
+++ b/src/comfreyvane/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -61,6 +62,9 @@
   void OnTick(TimePoint now);
 
  private:
+  /// @return this host's part of the connections to a server, by service.
+  [[nodiscard]] std::unordered_map<ServiceId, std::uint32_t> ConnectionShares()
+      const;
   /// Logs the end of a server's request limit, if it has one.
   void LogLimitEnd(BackendServerId server, const char* cause) const;
 
--- a/tests/comfreyvane/edge/backend_picker_test.cc
+++ b/tests/comfreyvane/edge/backend_picker_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "comfreyvane/edge/edge_fixture.h"
+#include "comfreyvane/edge/fleet_view.h"
 #include "support/criterion.h"
 
 using namespace comfreyvane;
@@ -299,3 +300,27 @@
   static_cast<void>(picker.OnLimitReport(old, kStart));
   cr_expect(!picker.LimitOf(entry.id()));
 }
+
+Test(backend_picker, hosts_together_open_more_connections_than_a_server_takes) {
+  constexpr std::uint32_t kMaxConnections = 20;
+  for (const std::size_t hosts : {1, 3, 8, 20}) {
+    std::vector<FleetHost> listed(hosts);
+    for (std::size_t i = 0; i < hosts; ++i)
+      listed[i].name = "edge-" + std::to_string(i);
+    std::uint32_t open = 0;
+    for (const FleetHost& host : listed) {
+      FleetView view(host);
+      view.OnListed(listed, kStart);
+      BackendPicker picker = PickerInWest();
+      picker.SetMaxConnections(
+          {{ServiceId::Of("capture"), view.ConnectionShare(kMaxConnections)}});
+      picker.Upsert(EntryOf("a", "west-a", 100), kStart);
+      while (const auto choice = picker.Pick(RequestFor(0), kStart)) {
+        cr_assert(picker.OnStarted(*choice, kStart));
+        ++open;
+      }
+    }
+    cr_expect(open <= kMaxConnections && open >= kMaxConnections / 2,
+              "%zu hosts: %u connections", hosts, open);
+  }
+}
