--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -30,6 +30,12 @@
 constexpr double kOverage = 0.1;
 constexpr double kSlack = 20.0;
 constexpr int kMostAttempts = 2;
+/// Bound of the limit that a server names: the time until it must be kept, the
+/// window, and what may come beyond the limit.
+constexpr Duration kLimitSettling = std::chrono::seconds(4);
+constexpr Duration kLimitWindow = std::chrono::seconds(4);
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitSlack = 5.0;
 
 struct Ends {
   std::mutex mutex;
@@ -84,24 +90,51 @@
     violations.insert(end.id + ": cut by a planned stop");
 }
 
-void CheckWindows(std::vector<TimePoint> times,
-                  std::set<std::string>& violations) {
+/// @return the largest number of events within a window.
+std::size_t FullestWindow(std::vector<TimePoint> times, Duration window) {
   std::ranges::sort(times);
-  const double seconds = std::chrono::duration<double>(kWindow).count();
-  const auto most = static_cast<std::size_t>(
-      (SoakFleet::kRate * seconds + SoakFleet::kBurst) * (1.0 + kOverage) +
-      kSlack);
   std::size_t worst = 0;
   for (std::size_t begin = 0, end = 0; end < times.size(); ++end) {
-    while (times[end] - times[begin] > kWindow)
+    while (times[end] - times[begin] > window)
       ++begin;
     worst = std::max(worst, end - begin + 1);
   }
+  return worst;
+}
+
+void CheckWindows(const std::vector<TimePoint>& times,
+                  std::set<std::string>& violations) {
+  const double seconds = std::chrono::duration<double>(kWindow).count();
+  const auto most = static_cast<std::size_t>(
+      (SoakFleet::kRate * seconds + SoakFleet::kBurst) * (1.0 + kOverage) +
+      kSlack);
+  const std::size_t worst = FullestWindow(times, kWindow);
   std::printf("runs in the fullest window: %zu of %zu\n", worst, most);
   if (worst > most)
     violations.insert("the limit was exceeded: " + std::to_string(worst));
 }
 
+void CheckServerLimit(std::vector<TimePoint> times,
+                      std::set<std::string>& violations) {
+  if (times.empty()) {
+    violations.insert("the server with a limit got no request");
+    return;
+  }
+  const TimePoint settled = times.front() + kLimitSettling;
+  std::erase_if(times, [settled](TimePoint time) { return time < settled; });
+  const double seconds = std::chrono::duration<double>(kLimitWindow).count();
+  const auto most = static_cast<std::size_t>(
+      kLimitTolerance * SoakFleet::kServerLimit * seconds + kLimitSlack);
+  const std::size_t worst = FullestWindow(times, kLimitWindow);
+  std::printf(
+      "requests in the fullest window of the limited server: %zu of %zu\n",
+      worst, most);
+  if (worst > most) {
+    violations.insert("a server's limit was exceeded: " +
+                      std::to_string(worst));
+  }
+}
+
 void CheckRecovered(SoakFleet& fleet, std::set<std::string>& violations) {
   constexpr int kReads = 20;
   for (std::size_t host = 0; host < fleet.size(); ++host) {
@@ -160,6 +193,7 @@
       violations.insert(id + ": ran, though no caller sent it");
   }
   CheckWindows(fleet.record().times, violations);
+  CheckServerLimit(fleet.record().arrivals_at_limited, violations);
   std::printf("seed %lu: %zu requests, %zu served, %zu violations\n",
               static_cast<unsigned long>(seed), ends.all.size(), answered,
               violations.size());
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -89,6 +89,8 @@
   Server server;
   server.standin =
       std::make_unique<SoakServer>(io_, name, seed + number, record_);
+  if (number == 0)
+    server.standin->NameLimit(std::to_string(kServerLimit));
   server.listener = std::make_unique<CallerListener<SoakServer>>(
       io_, AnyPort(), PortSharing::kExclusive, nullptr, sweeper_, HttpLimits{},
       *server.standin);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -30,6 +30,8 @@
   static constexpr int kRate = 150;
   static constexpr int kBurst = 50;
   static constexpr std::size_t kServers = 6;
+  /// Requests/s that one of the servers names as its limit.
+  static constexpr int kServerLimit = 3;
 
   SoakFleet(std::string program, std::size_t hosts, std::uint64_t seed);
   ~SoakFleet();
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -24,6 +24,8 @@
   std::mutex mutex;
   std::map<std::string, int> runs;  ///< By request identifier.
   std::vector<TimePoint> times;     ///< Of all runs.
+  /// Of the requests that the server with a limit got.
+  std::vector<TimePoint> arrivals_at_limited;
   std::set<std::string> violations;
 };
 
@@ -39,6 +41,9 @@
   /// @param part of the requests that go wrong, 0 to 1.
   void SetFaults(double part) { faults_ = part; }
 
+  /// @param limit requests/s that it names in its answers.
+  void NameLimit(std::string limit) { limit_ = std::move(limit); }
+
   template <typename Exchange>
   asio::awaitable<bool> Handle(Exchange& exchange) {
     const auto& head = exchange.head();
@@ -53,6 +58,10 @@
     answer.version(11);
     answer.set("X-Request-Id", id);
     answer.set("X-Server-Load", "1,0,8");
+    if (!limit_.empty()) {
+      answer.set("Server-Limit", limit_);
+      NoteArrivalAtLimited();
+    }
     const double luck = random_.Uniform();
     if (!expected) {
       answer.result(421);
@@ -83,6 +92,10 @@
   }
 
  private:
+  void NoteArrivalAtLimited() {
+    const std::lock_guard lock(record_.mutex);
+    record_.arrivals_at_limited.push_back(MonotonicNow());
+  }
   void NoteRun(const std::string& id, bool clean) {
     const std::lock_guard lock(record_.mutex);
     ++record_.runs[id];
@@ -96,6 +109,7 @@
   RandomSource random_;
   RunRecord& record_;
   double faults_ = 0.0;
+  std::string limit_;
 };
 
 }  // namespace comfreyvane::soak
