Write a host's rows again at once when the store comes back from a copy

Cause: the host learned the new era from another table, but the call for changes of the hosts' table is held for up to 20 s. Versions are given out again, so the store does not take its position for one it does not have; until the call ended, the old rows counted as listed and nothing was written.

The host now erases its own rows from what it knows as soon as it learns the era; the next check, within a second, writes them again.

--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -345,6 +345,9 @@
     backends_.OnStoreFailure(now);
     relayed_until_ = TimePoint{};
     outdated_entries_until_ = now + EntryHistory::kRetention;
+    // The copy may lack them. The held call for this table returns only after a
+    // change, so they are written again without waiting for it.
+    EraseOwnRows();
     for (Progress& progress : progress_) {
       progress.needs_snapshot = true;
       progress.position = Revision();
@@ -421,13 +424,23 @@
   /// Erases this host's own rows that are missing in a restored copy from the
   /// known rows, so that they are written again immediately.
   void EraseOwnMissingRows(const TableFeed& feed) {
-    const std::string& self = state_.context().settings.name;
-    for (const std::string& key : {self, std::string(kSecretRowKey)}) {
+    for (const std::string& key : OwnRowKeys()) {
       if (!ContainsRow(feed, key))
         rows_[StoreTable::kHosts].erase(key);
     }
   }
 
+  /// Erases this host's own rows from the known rows, so that they are written
+  /// again if the store does not have them.
+  void EraseOwnRows() {
+    for (const std::string& key : OwnRowKeys())
+      rows_[StoreTable::kHosts].erase(key);
+  }
+
+  [[nodiscard]] std::array<std::string, 2> OwnRowKeys() const {
+    return {state_.context().settings.name, std::string(kSecretRowKey)};
+  }
+
   void Apply(StoreTable table, const TableRow& row, TimePoint now) {
     const bool deleted = row.revision == Revision();
     if (deleted)
--- a/tests/platform/store_copy_test.cc
+++ b/tests/platform/store_copy_test.cc
@@ -16,6 +16,16 @@
 /// Number of checks at intervals of 10 ms: 8 s.
 constexpr int kTries = 800;
 
+/// @return whether the store has the rows that a gateway writes.
+bool IsListed(Deployment& deployment) {
+  bool listed = false;
+  deployment.OnStandins([&] {
+    listed = deployment.store.Has("hosts", "edge-1") &&
+             deployment.store.Has("hosts", "!secret");
+  });
+  return listed;
+}
+
 }  // namespace
 
 Test(store_copy, changes_after_a_restore_are_applied, .timeout = 60) {
@@ -53,23 +63,34 @@
 
 Test(store_copy, a_host_writes_its_rows_again, .timeout = 60) {
   Deployment deployment;
-  const auto is_listed = [&] {
-    bool listed = false;
-    deployment.OnStandins([&] {
-      listed = deployment.store.Has("hosts", "edge-1") &&
-               deployment.store.Has("hosts", "!secret");
-    });
-    return listed;
-  };
-  cr_assert(Eventually(is_listed, kTries));
+  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
   deployment.OnStandins([&] {
     deployment.store.Delete("hosts", "edge-1");
     deployment.store.Delete("hosts", "!secret");
     deployment.store.Backup();
   });
-  cr_assert(Eventually(is_listed, kTries));
+  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
   deployment.OnStandins([&] { deployment.store.Restore(); });
-  cr_expect(Eventually(is_listed, kTries));
+  cr_expect(Eventually([&] { return IsListed(deployment); }, kTries));
+}
+
+Test(store_copy, a_held_call_delays_the_rows_of_a_host, .timeout = 60) {
+  Deployment deployment;
+  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
+  deployment.OnStandins([&] {
+    deployment.store.Delete("hosts", "edge-1");
+    deployment.store.Delete("hosts", "!secret");
+    deployment.store.Backup();
+  });
+  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
+  // The gateway has read its rows and waits for changes after their version.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  deployment.OnStandins([&] {
+    deployment.store.Restore();
+    // Takes the version that the gateway's rows had.
+    deployment.store.Put("op", "evacuate/elsewhere", "{}");
+  });
+  cr_expect(Eventually([&] { return IsListed(deployment); }, kTries));
 }
 
 Test(store_copy,
