--- a/src/comfreyvane/edge/limit_change.h
+++ b/src/comfreyvane/edge/limit_change.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 
+#include "comfreyvane/base/time.h"
+
 namespace comfreyvane {
 
 /// Change of what a host knows about a backend server's request limit.
@@ -19,8 +21,7 @@
   Kind kind = Kind::kNone;
   double before = 0.0;  ///< Requests/s.
   double rate = 0.0;    ///< Requests/s.
-  /// Time since the previous answer that named a limit.
-  double age_s = 0.0;
+  Duration age{};       ///< Of what was known before; zero if nothing was.
 
   friend bool operator==(const LimitChange&, const LimitChange&) = default;
 };
--- a/src/comfreyvane/edge/server_limit.cc
+++ b/src/comfreyvane/edge/server_limit.cc
@@ -76,7 +76,7 @@
     change.kind = LimitChange::Kind::kChanged;
   }
   if (heard_at_ != TimePoint{})
-    change.age_s = Seconds(heard_at - heard_at_);
+    change.age = heard_at - heard_at_;
   is_named_ = rate.has_value();
   rate_ = change.rate;
   heard_at_ = heard_at;
--- a/src/comfreyvane/edge/server_limit.h
+++ b/src/comfreyvane/edge/server_limit.h
@@ -4,26 +4,16 @@
 #define COMFREYVANE_EDGE_SERVER_LIMIT_H_
 
 #include <cstddef>
-#include <limits>
 #include <optional>
 
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/limit_change.h"
+#include "comfreyvane/edge/limit_rank.h"
 #include "comfreyvane/edge/limit_report.h"
 #include "comfreyvane/edge/named_limit.h"
 
 namespace comfreyvane {
 
-/// Place of a host in the order in which hosts may use a limited server. All
-/// hosts that know the same list of hosts agree on the order.
-struct LimitRank {
-  /// Number of hosts that come before this one. The default is after all.
-  std::size_t rank = std::numeric_limits<std::size_t>::max();
-  std::size_t hosts = 0;  ///< Hosts in the list.
-
-  friend bool operator==(const LimitRank&, const LimitRank&) = default;
-};
-
 /// Keeps all hosts together within the request limit that one backend server
 /// names in its answers. Part of BackendPicker.
 ///
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -266,6 +266,7 @@
     // Every successful answer of a backend server carries a seal, so this one
     // came from something else.
     result.head.reset();
+    result.limit.reset();
     result.run_state = RunState::kUnknown;
     OnFailure(attempt, ExchangeFailure::kMalformed);
     return;
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -273,11 +273,11 @@
     return;
   const LimitChange change =
       context_.backends.OnNamedLimit(server, *result.limit, sent_at, now);
-  const BackendState* const state = context_.backends.Find(server);
-  if (state != nullptr)
-    LogLimitChange(state->entry().name, change, "answer");
-  if (result.limit->state == NamedLimit::State::kUnreadable)
-    Log(LogLevel::kWarning, "server-limit-unreadable", {{"server", server}});
+  LogLimitChange(NameOf(server), change, "answer");
+  if (result.limit->state == NamedLimit::State::kUnreadable &&
+      context_.attempt_lines.TryTake(now))
+    Log(LogLevel::kWarning, "server-limit-unreadable",
+        {{"server", NameOf(server)}});
 }
 
 void GatewayHandler::RecordRefusal(const GatewayRequest& request,
--- a/src/comfreyvane/gateway/limit_log.cc
+++ b/src/comfreyvane/gateway/limit_log.cc
@@ -30,7 +30,7 @@
        {"source", source},
        {"before", change.before},
        {"rate", change.rate},
-       {"age_s", change.age_s}});
+       {"age_ms", change.age}});
 }
 
 }  // namespace comfreyvane
--- a/tests/comfreyvane/edge/server_limit_test.cc
+++ b/tests/comfreyvane/edge/server_limit_test.cc
@@ -38,7 +38,7 @@
       limit.OnAnswer(Limit(5), kStart, kStart + seconds(4));
   cr_expect(changed.kind == LimitChange::Kind::kChanged);
   cr_expect_float_eq(changed.before, 2.4, 1e-9);
-  cr_expect_float_eq(changed.age_s, 2.0, 1e-9);
+  cr_expect(changed.age == seconds(2));
   const LimitChange expired =
       limit.OnAnswer(kNoLimit, kStart + seconds(5), kStart + seconds(6));
   cr_expect(expired.kind == LimitChange::Kind::kExpired);
