--- a/tests/platform/store_copy_test.cc
+++ b/tests/platform/store_copy_test.cc
@@ -26,6 +26,18 @@
   return listed;
 }
 
+/// Saves a copy of the store that lacks the gateway's rows, and waits until the
+/// gateway has written them.
+void BackupWithoutRows(Deployment& deployment) {
+  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
+  deployment.OnStandins([&] {
+    deployment.store.Delete("hosts", "edge-1");
+    deployment.store.Delete("hosts", "!secret");
+    deployment.store.Backup();
+  });
+  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
+}
+
 }  // namespace
 
 Test(store_copy, changes_after_a_restore_are_applied, .timeout = 60) {
@@ -63,26 +75,14 @@
 
 Test(store_copy, a_host_writes_its_rows_again, .timeout = 60) {
   Deployment deployment;
-  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
-  deployment.OnStandins([&] {
-    deployment.store.Delete("hosts", "edge-1");
-    deployment.store.Delete("hosts", "!secret");
-    deployment.store.Backup();
-  });
-  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
+  BackupWithoutRows(deployment);
   deployment.OnStandins([&] { deployment.store.Restore(); });
   cr_expect(Eventually([&] { return IsListed(deployment); }, kTries));
 }
 
 Test(store_copy, a_held_call_delays_the_rows_of_a_host, .timeout = 60) {
   Deployment deployment;
-  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
-  deployment.OnStandins([&] {
-    deployment.store.Delete("hosts", "edge-1");
-    deployment.store.Delete("hosts", "!secret");
-    deployment.store.Backup();
-  });
-  cr_assert(Eventually([&] { return IsListed(deployment); }, kTries));
+  BackupWithoutRows(deployment);
   // The gateway has read its rows and waits for changes after their version.
   std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   deployment.OnStandins([&] {
