Log whether an attempt used an open connection, and how long no server answered

The hypotheses on hosts without a path could not be told apart: attempt-ended did not say whether a new connection was needed, and each line was about one server. It now has open_connection and silence_ms, and the gauge comfreyvane_answer_age_milliseconds says the latter between requests.

--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -93,6 +93,7 @@
   });
   attempt.connection = pool_.Take(server, MonotonicNow());
   attempt.is_pooled = attempt.connection != nullptr;
+  attempt.result.used_open_connection = attempt.is_pooled;
   if (!attempt.is_pooled)
     co_await Connect(attempt, entry);
   if (attempt.connection && !attempt.is_cancelled)
--- a/src/comfreyvane/gateway/call_result.h
+++ b/src/comfreyvane/gateway/call_result.h
@@ -30,6 +30,7 @@
   RunState run_state = RunState::kNotRun;
   RequestOutcome outcome = RequestOutcome::kConnectFailed;
   bool caller_gone = false;  ///< The caller closed its connection.
+  bool used_open_connection = false;  ///< No new connection was needed.
   bool closed_mid_request =
       false;  ///< The server closed after it got the request.
   std::optional<LoadReport> load;
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -47,6 +47,8 @@
   /// Requests that have been received but not answered.
   std::uint32_t running_requests = 0;
   bool leaving = false;  ///< This host is shutting down.
+  /// When any backend server last answered; zero: never.
+  TimePoint last_answer_at{};
   /// Budgets of log lines on attempts and refusals. They are separate so that
   /// many successful attempts do not suppress the lines on refusals.
   LineBudget attempt_lines{kAttemptLinesPerSecond};
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -220,6 +220,9 @@
                                    Duration latency,
                                    TimePoint now) {
   context_.metrics.Record(LatencyName::kBackendAttempt, latency, now);
+  const Duration silence = now - context_.last_answer_at;
+  if (result.head)
+    context_.last_answer_at = now;
   if (result.closed_mid_request)
     context_.poison.OnServerCrash(request.fingerprint, now);
   else if (result.run_state == RunState::kRan)
@@ -240,6 +243,8 @@
        {"warm", choice.warm},
        {"distance", static_cast<int>(choice.distance)},
        {"run", result.run_state},
+       {"open_connection", result.used_open_connection},
+       {"silence_ms", silence},
        {"status", result.head ? result.head->result_int() : 0U},
        {"reason",
         result.head ? std::string_view("answered") : Name(result.reason)},
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -200,7 +200,7 @@
     if (now >= next_slow_tick_) {
       next_slow_tick_ = now + kSlowTickInterval;
       state_.OnTick(now);
-      SetGauges();
+      SetGauges(now);
       LogSuppressed();
     }
     if (now >= next_settings_check_) {
@@ -221,7 +221,7 @@
     });
   }
 
-  void SetGauges() {
+  void SetGauges(TimePoint now) {
     MetricsRegistry& metrics = context_.metrics;
     metrics.SetGauge(GaugeName::kOpenCallerConnections,
                      static_cast<std::int64_t>(caller_listener_.connections()));
@@ -233,6 +233,11 @@
     metrics.SetGauge(GaugeName::kAvailableBackendServers,
                      static_cast<std::int64_t>(context_.backends.size()));
     metrics.SetGauge(GaugeName::kLeaving, context_.leaving ? 1 : 0);
+    const Duration answer_age = now - context_.last_answer_at;
+    metrics.SetGauge(
+        GaugeName::kAnswerAgeMs,
+        std::chrono::duration_cast<std::chrono::milliseconds>(answer_age)
+            .count());
   }
 
   void LogSuppressed() {
--- a/src/comfreyvane/metrics/gauge_name.cc
+++ b/src/comfreyvane/metrics/gauge_name.cc
@@ -32,6 +32,8 @@
      "comfreyvane_available_backend_servers",
      "Backend servers that may get work from this host."},
     {GaugeName::kLeaving, "comfreyvane_leaving", "1 while the host stops."},
+    {GaugeName::kAnswerAgeMs, "comfreyvane_answer_age_milliseconds",
+     "Time since a backend server last answered this host."},
 }};
 
 const GaugeNameRow& Row(GaugeName gauge) {
--- a/src/comfreyvane/metrics/gauge_name.h
+++ b/src/comfreyvane/metrics/gauge_name.h
@@ -19,11 +19,12 @@
   kConfigurationAgeMs,       ///< Since it was last confirmed as newest.
   kAvailableBackendServers,  ///< That may get work from this host.
   kLeaving,                  ///< 1 while the host stops.
+  kAnswerAgeMs,  ///< Since a backend server last answered this host.
 };
 
 /// Number of gauge names.
 inline constexpr std::size_t kGaugeNameCount =
-    static_cast<std::size_t>(GaugeName::kLeaving) + 1;
+    static_cast<std::size_t>(GaugeName::kAnswerAgeMs) + 1;
 
 /// @return the name in the metrics text, such as "comfreyvane_live_hosts".
 [[nodiscard]] std::string_view Name(GaugeName gauge);
