Test: callers of hosts without a path to the servers; known red

Five gateways with a failure domain each; the store's stand-in gives each host the addresses of its own proxies, so that the links of one host can hang, be reset, or be refused while open ones go on.

--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -4,6 +4,7 @@
 #define TESTS_PLATFORM_SERVER_STANDIN_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <map>
 #include <string>
 
@@ -26,6 +27,7 @@
   std::string last_deadline;
   bool saw_key = false;
   std::string limit;  ///< Requests/s that it names; empty: none.
+  std::chrono::milliseconds work{0};  ///< Time that a run takes.
 
   template <typename Exchange>
   asio::awaitable<bool> Handle(Exchange& exchange) {
@@ -51,6 +53,10 @@
         exchange.Abort();
         co_return false;
       }
+      if (work.count() > 0) {
+        asio::steady_timer timer(io_, work);
+        co_await timer.async_wait(kAwait);
+      }
       answer.result(behaviour == "error" ? 500 : 200);
       if (behaviour != "unsealed")
         answer.set("X-Server-Seal", "seal");
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -11,6 +11,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/url/parse.hpp>
+#include <functional>
 #include <map>
 #include <string>
 #include <tuple>
@@ -27,6 +28,11 @@
  public:
   explicit StoreStandin(asio::io_context& io) : io_(io) {}
 
+  /// @return the value that a caller gets in place of a row's.
+  using Rewrite = std::function<std::string(const std::string& table,
+                                            const std::string& key,
+                                            const std::string& value)>;
+
   struct Faults {
     unsigned status = 0;        ///< Status of all answers; 0 for no fault.
     bool lose_answers = false;  ///< Run calls, but do not answer.
@@ -58,8 +64,9 @@
     return found != rows_.end() && !found->second.deleted;
   }
 
+  /// @param rewrite applied to all rows that the caller reads; empty: none.
   template <typename Exchange>
-  asio::awaitable<bool> Handle(Exchange& exchange) {
+  asio::awaitable<bool> Handle(Exchange& exchange, Rewrite rewrite = {}) {
     ++calls;
     const std::string target(exchange.head().target());
     const auto body = co_await ReadWholeBody(exchange, 1 << 20);
@@ -77,14 +84,14 @@
     if (faults.status != 0)
       answer.result(faults.status);
     else if (url->encoded_path() == "/-/rows-get")
-      answer.body() = AllRows(query["Table"]);
+      answer.body() = AllRows(query["Table"], rewrite);
     else if (url->encoded_path() == "/-/rows-tx")
       answer.result(Commit(*body, answer.body()));
     else if (std::exchange(faults.history_lost, false) ||
              std::stoull(query["after"]) > version_)
       answer.result(410);
     else
-      answer.body() = co_await HeldChanges(query);
+      answer.body() = co_await HeldChanges(query, rewrite);
     if (faults.lose_answers) {
       exchange.Abort();
       co_return false;
@@ -151,36 +158,43 @@
 
   [[nodiscard]] boost::json::array RowsAfter(const std::string& table,
                                              std::uint64_t version,
-                                             bool deleted_too) const {
+                                             bool deleted_too,
+                                             const Rewrite& rewrite) const {
     boost::json::array rows;
     for (const auto& [place, row] : rows_) {
       if (place.first == table && row.version > version &&
-          (deleted_too || !row.deleted))
-        rows.push_back(RowText(place.first, place.second, row));
+          (deleted_too || !row.deleted)) {
+        Row read = row;
+        if (rewrite && !row.deleted)
+          read.value = rewrite(place.first, place.second, row.value);
+        rows.push_back(RowText(place.first, place.second, read));
+      }
     }
     return rows;
   }
 
-  [[nodiscard]] std::string AllRows(const std::string& table) const {
-    return Answer(RowsAfter(table, 0, false));
+  [[nodiscard]] std::string AllRows(const std::string& table,
+                                    const Rewrite& rewrite) const {
+    return Answer(RowsAfter(table, 0, false, rewrite));
   }
 
   asio::awaitable<std::string> HeldChanges(
-      std::map<std::string, std::string> query) {
+      std::map<std::string, std::string> query,
+      Rewrite rewrite) {
     ++held[query["Table"]];
-    std::string answer = co_await Changes(query);
+    std::string answer = co_await Changes(query, std::move(rewrite));
     --held[query["Table"]];
     co_return answer;
   }
 
-  asio::awaitable<std::string> Changes(
-      std::map<std::string, std::string> query) {
+  asio::awaitable<std::string> Changes(std::map<std::string, std::string> query,
+                                       Rewrite rewrite) {
     const std::uint64_t after = std::stoull(query["after"]);
     asio::steady_timer timer(io_);
     const std::uint64_t era = era_;
     for (int waited = 0; waited < std::stoi(query["WaitMs"]) && era == era_;
          waited += 10) {
-      boost::json::array rows = RowsAfter(query["Table"], after, true);
+      boost::json::array rows = RowsAfter(query["Table"], after, true, rewrite);
       if (!rows.empty())
         co_return Answer(std::move(rows));
       timer.expires_after(std::chrono::milliseconds(10));
--- /dev/null
+++ b/tests/platform/stranded_fleet.h
@@ -0,0 +1,261 @@
+/// @file
+/// Gateways of several failure domains whose paths to the backend servers can
+/// be cut.
+#ifndef TESTS_PLATFORM_STRANDED_FLEET_H_
+#define TESTS_PLATFORM_STRANDED_FLEET_H_
+
+#include <unistd.h>
+
+#include <boost/asio/post.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "comfreyvane/gateway/gateway_process.h"
+#include "platform/gateway_platform.h"
+#include "platform/server_standin.h"
+#include "platform/store_standin.h"
+#include "platform/stranded_configuration.h"
+#include "soak/fault_proxy.h"
+#include "support/free_port.h"
+
+namespace comfreyvane::testing {
+
+/// How the connections of a cut host to backend servers fail.
+enum class CutKind {
+  kHang,    ///< Nothing passes; connections stay open.
+  kReset,   ///< Open connections are reset, new ones are refused.
+  kRefuse,  ///< Open connections go on, new ones are refused.
+};
+
+/// Store as one host reads it: the entries of backend servers have the
+/// addresses of that host's proxies.
+class StoreView {
+ public:
+  StoreView(StoreStandin& store, StoreStandin::Rewrite rewrite)
+      : store_(store), rewrite_(std::move(rewrite)) {}
+
+  template <typename Exchange>
+  asio::awaitable<bool> Handle(Exchange& exchange) {
+    co_return co_await store_.Handle(exchange, rewrite_);
+  }
+  template <typename Exchange>
+  asio::awaitable<void> Refuse(Exchange& exchange, RefusalReason reason) {
+    co_await store_.Refuse(exchange, reason);
+  }
+
+ private:
+  StoreStandin& store_;
+  StoreStandin::Rewrite rewrite_;
+};
+
+/// Gateways with a failure domain each, three domains to a region, and backend
+/// servers with a proxy for each host before them. Stand-ins and proxies run on
+/// one thread, each gateway has one of its own.
+class StrandedFleet {
+ public:
+  StrandedFleet(std::size_t hosts, std::size_t servers)
+      : sweeper_(io_), store_(io_) {
+    sweeper_.Start();
+    store_.Put("op", "config", kStrandedConfiguration);
+    for (std::size_t i = 0; i < servers; ++i)
+      AddServer(i, hosts);
+    for (std::size_t i = 0; i < hosts; ++i)
+      AddHost(i, hosts);
+    thread_ = std::thread([this] { io_.run(); });
+    for (const auto& host : hosts_)
+      host->Start();
+  }
+  ~StrandedFleet() {
+    for (const auto& host : hosts_) {
+      if (host->gateway)
+        host->gateway->Stop();
+    }
+    for (const auto& host : hosts_)
+      host->Join();
+    io_.stop();
+    thread_.join();
+  }
+  StrandedFleet(const StrandedFleet&) = delete;
+  StrandedFleet& operator=(const StrandedFleet&) = delete;
+
+  [[nodiscard]] std::size_t size() const { return hosts_.size(); }
+  [[nodiscard]] tcp::endpoint callers(std::size_t host) const {
+    return {asio::ip::address_v4::loopback(),
+            hosts_[host]->settings.callers.port};
+  }
+  [[nodiscard]] const GatewaySettings& settings(std::size_t host) const {
+    return hosts_[host]->settings;
+  }
+
+  /// Cuts a host from all backend servers.
+  void Cut(std::size_t host, CutKind kind) {
+    OnStandins([&] {
+      for (const auto& proxy : hosts_[host]->paths)
+        CutPath(*proxy, kind);
+    });
+  }
+  void Restore(std::size_t host) {
+    OnStandins([&] {
+      for (const auto& proxy : hosts_[host]->paths) {
+        proxy->Listen();
+        proxy->SetMode(soak::ProxyMode::kPass);
+      }
+    });
+  }
+
+  /// @return how often a request ran, over all servers.
+  [[nodiscard]] int RunsOf(const std::string& id) {
+    int runs = 0;
+    OnStandins([&] {
+      for (const auto& server : servers_) {
+        const auto found = server->standin.runs.find(id);
+        runs += found == server->standin.runs.end() ? 0 : found->second;
+      }
+    });
+    return runs;
+  }
+  [[nodiscard]] bool ServersSawKey() {
+    bool saw_key = false;
+    OnStandins([&] {
+      for (const auto& server : servers_)
+        saw_key = saw_key || server->standin.saw_key;
+    });
+    return saw_key;
+  }
+
+ private:
+  using Gateway = GatewayProcess<platform::GatewayPlatform>;
+  template <typename Handler>
+  using Listener = CallerListener<Handler>;
+
+  struct Server {
+    Server(asio::io_context& io, TimeoutSweeper& sweeper, std::string name)
+        : standin(io, std::move(name)),
+          listener(io,
+                   {asio::ip::address_v4::loopback(), 0},
+                   PortSharing::kExclusive,
+                   nullptr,
+                   sweeper,
+                   HttpLimits{},
+                   standin) {
+      standin.work = kWork;
+      listener.Start();
+    }
+    static constexpr std::chrono::milliseconds kWork{20};
+
+    ServerStandin standin;
+    Listener<ServerStandin> listener;
+  };
+
+  struct Host {
+    void Start() {
+      gateway =
+          std::make_unique<Gateway>(settings, "/dev/null", incarnation, output);
+      thread = std::thread([this] { gateway->Run(); });
+    }
+    void Join() {
+      if (thread.joinable())
+        thread.join();
+    }
+
+    GatewaySettings settings;
+    std::uint64_t incarnation = 0;
+    std::vector<std::unique_ptr<soak::FaultProxy>> paths;  ///< By server.
+    std::unique_ptr<StoreView> view;
+    std::unique_ptr<Listener<StoreView>> store_listener;
+    BoundedOutput output{STDERR_FILENO, 1024};
+    std::unique_ptr<Gateway> gateway;
+    std::thread thread;
+  };
+
+  [[nodiscard]] static std::string DomainOf(std::size_t number) {
+    return "d" + std::to_string(number);
+  }
+  [[nodiscard]] static std::string RegionOf(std::size_t domain) {
+    return "region-" + std::to_string(domain / 3);
+  }
+
+  void AddServer(std::size_t number, std::size_t domains) {
+    const std::string name = "i-" + std::to_string(number);
+    servers_.push_back(std::make_unique<Server>(io_, sweeper_, name));
+    store_.Put("servers", name,
+               R"({"Address":"127.0.0.1:0","Info":{"Service":"s",)"
+               R"("Version":"v1","Zone":")" +
+                   DomainOf(number % domains) +
+                   R"(","Slots":8},"Status":{"State":"ready","Seq":1,)"
+                   R"("ColdRemainingMs":0},"born":1})");
+  }
+
+  void AddHost(std::size_t number, std::size_t hosts) {
+    auto host = std::make_unique<Host>();
+    for (const auto& server : servers_) {
+      host->paths.push_back(std::make_unique<soak::FaultProxy>(
+          io_, server->listener.local_endpoint().port()));
+    }
+    host->view = std::make_unique<StoreView>(
+        store_,
+        [paths = &host->paths](const std::string& table, const std::string& key,
+                               std::string value) {
+          const std::string port = "127.0.0.1:0";
+          if (table != "servers")
+            return value;
+          const std::size_t server = std::stoul(key.substr(2));
+          return value.replace(
+              value.find(port), port.size(),
+              "127.0.0.1:" + std::to_string((*paths)[server]->port()));
+        });
+    host->store_listener = std::make_unique<Listener<StoreView>>(
+        io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0),
+        PortSharing::kExclusive, nullptr, sweeper_, HttpLimits{}, *host->view);
+    host->store_listener->Start();
+    GatewaySettings& settings = host->settings;
+    settings.name = "edge-" + std::to_string(number);
+    settings.failure_domain = DomainOf(number);
+    settings.region = RegionOf(number);
+    for (std::size_t domain = 0; domain < hosts; ++domain)
+      settings.domains[DomainOf(domain)] = RegionOf(domain);
+    for (Endpoint* endpoint : {&settings.callers, &settings.readiness,
+                               &settings.lookups, &settings.peers})
+      *endpoint = {"127.0.0.1", FreePort()};
+    settings.platform = {"127.0.0.1",
+                         host->store_listener->local_endpoint().port()};
+    host->incarnation = number + 1;
+    hosts_.push_back(std::move(host));
+  }
+
+  static void CutPath(soak::FaultProxy& proxy, CutKind kind) {
+    if (kind == CutKind::kHang) {
+      proxy.SetMode(soak::ProxyMode::kSilent);
+      return;
+    }
+    proxy.StopListening();
+    if (kind == CutKind::kReset)
+      proxy.ResetAll();
+  }
+
+  /// Runs a function on the stand-ins' thread and waits for it.
+  void OnStandins(const std::function<void()>& change) {
+    std::promise<void> done;
+    asio::post(io_, [&] {
+      change();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  asio::io_context io_{1};
+  TimeoutSweeper sweeper_;
+  StoreStandin store_;
+  std::vector<std::unique_ptr<Server>> servers_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::thread thread_;
+};
+
+}  // namespace comfreyvane::testing
+
+#endif  // TESTS_PLATFORM_STRANDED_FLEET_H_
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -34,16 +34,31 @@
   FaultProxy(asio::io_context& io, std::uint16_t target_port)
       : io_(io),
         target_(asio::ip::address_v4::loopback(), target_port),
-        acceptor_(io, {asio::ip::address_v4::loopback(), 0}) {
+        acceptor_(io, {asio::ip::address_v4::loopback(), 0}),
+        port_(acceptor_.local_endpoint().port()) {
     asio::co_spawn(io_, Accept(), asio::detached);
   }
 
-  [[nodiscard]] std::uint16_t port() const {
-    return acceptor_.local_endpoint().port();
-  }
+  [[nodiscard]] std::uint16_t port() const { return port_; }
 
   void SetMode(ProxyMode mode) { mode_ = mode; }
 
+  /// Makes the kernel refuse new connections. Open ones go on.
+  void StopListening() {
+    error_code ignored;
+    acceptor_.close(ignored);
+  }
+  /// Accepts new connections again, on the same port.
+  void Listen() {
+    if (acceptor_.is_open())
+      return;
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind({asio::ip::address_v4::loopback(), port_});
+    acceptor_.listen();
+    asio::co_spawn(io_, Accept(), asio::detached);
+  }
+
   /// Resets all open connections.
   void ResetAll() {
     for (const auto& link : links_)
@@ -73,6 +88,8 @@
       auto link = std::make_shared<Link>(io_);
       const auto [error] =
           co_await acceptor_.async_accept(link->caller, kAwait);
+      if (error == asio::error::operation_aborted)
+        co_return;
       if (error || mode_ == ProxyMode::kRefuse)
         continue;
       links_.push_back(link);
@@ -129,6 +146,7 @@
   asio::io_context& io_;
   tcp::endpoint target_;
   tcp::acceptor acceptor_;
+  std::uint16_t port_;
   ProxyMode mode_ = ProxyMode::kPass;
   std::list<LinkPtr> links_;
 };
