Hold back reports of crashes until they may no longer be retracted

Callers of hosts with sound links were refused as crash-contained while another host's links to the servers were reset: that host took each reset for a crash of the server, and told the others at once.

--- a/src/comfreyvane/edge/poison_request_tracker.cc
+++ b/src/comfreyvane/edge/poison_request_tracker.cc
@@ -11,13 +11,17 @@
 /// Time after the last crash for which a record is valid.
 constexpr Duration kRetention = std::chrono::minutes(2);
 
+/// Time before a crash is reported to peers. A host notices within this time
+/// that its connections broke because it lost its path to the servers.
+constexpr Duration kReportDelay = std::chrono::milliseconds(700);
+
 /// Upper bound of the number of records.
 constexpr std::size_t kMaxRecords = 1024;
 
 }  // namespace
 
 std::uint32_t PoisonRequestTracker::Total(const Record& record) {
-  std::uint32_t total = record.own;
+  auto total = static_cast<std::uint32_t>(record.own.size());
   for (const auto& [peer, count] : record.by_peer)
     total += count;
   return total;
@@ -35,10 +39,16 @@
                                          TimePoint now) {
   Trim(now);
   Record& record = records_[fingerprint];
-  ++record.own;
+  if (record.own.size() < kMaxCrashes)
+    record.own.push_back(now);
   record.updated_at = now;
 }
 
+void PoisonRequestTracker::Retract(TimePoint since) {
+  for (auto& [fingerprint, record] : records_)
+    std::erase_if(record.own, [since](TimePoint at) { return at >= since; });
+}
+
 void PoisonRequestTracker::OnPeerReport(std::uint64_t fingerprint,
                                         std::uint32_t count,
                                         std::uint64_t peer,
@@ -57,8 +67,12 @@
     TimePoint now) const {
   std::vector<CrashCount> counts;
   for (const auto& [fingerprint, record] : records_) {
-    if (record.own > 0 && now - record.updated_at <= kRetention)
-      counts.push_back({fingerprint, record.own});
+    if (now - record.updated_at > kRetention)
+      continue;
+    const auto count = static_cast<std::uint32_t>(std::ranges::count_if(
+        record.own, [now](TimePoint at) { return now - at >= kReportDelay; }));
+    if (count > 0)
+      counts.push_back({fingerprint, count});
   }
   return counts;
 }
--- a/src/comfreyvane/edge/poison_request_tracker.h
+++ b/src/comfreyvane/edge/poison_request_tracker.h
@@ -23,6 +23,9 @@
   /// Records that a backend server closed the connection while it ran the
   /// request for this host.
   void OnServerCrash(std::uint64_t fingerprint, TimePoint now);
+  /// Forgets the crashes that this host has seen since a time, because its
+  /// connections broke for another reason.
+  void Retract(TimePoint since);
   /// Records the crash count that a peer has reported for a request; replaces
   /// the peer's earlier count.
   void OnPeerReport(std::uint64_t fingerprint,
@@ -36,12 +39,13 @@
     std::uint64_t fingerprint = 0;
     std::uint32_t count = 0;
   };
-  /// @return the crash counts of this host, to be sent to peers.
+  /// @return the crash counts of this host, to be sent to peers. Crashes that
+  ///     have just been seen are left out, since they may be retracted.
   [[nodiscard]] std::vector<CrashCount> CrashCounts(TimePoint now) const;
 
  private:
   struct Record {
-    std::uint32_t own = 0;
+    std::vector<TimePoint> own;  ///< Crashes that this host has seen.
     std::unordered_map<std::uint64_t, std::uint32_t> by_peer;
     TimePoint updated_at{};
   };
