--- a/src/comfreyvane/base/refusal_reason.cc
+++ b/src/comfreyvane/base/refusal_reason.cc
@@ -31,6 +31,7 @@
     {RefusalReason::kRegionFull, "region-full", 503},
     {RefusalReason::kSiteUnavailable, "site-unavailable", 503},
     {RefusalReason::kServerLimit, "server-limit", 503},
+    {RefusalReason::kNoPath, "no-path", 503},
     {RefusalReason::kNoBackendServer, "no-backend-server", 503},
     {RefusalReason::kBackendConnectFailed, "backend-connect-failed", 502},
     {RefusalReason::kBackendClosed, "backend-closed", 502},
--- a/src/comfreyvane/base/refusal_reason.h
+++ b/src/comfreyvane/base/refusal_reason.h
@@ -28,6 +28,7 @@
   kRegionFull,
   kSiteUnavailable,
   kServerLimit,
+  kNoPath,
   kNoBackendServer,
   kBackendConnectFailed,
   kBackendClosed,
--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -13,10 +13,6 @@
 /// second. Two seconds together use two thirds; the rest is a margin for noise.
 constexpr double kShiftFractionPerSecond = 1.0 / 3.0;
 
-/// Time for which a failure of servers in the region suspends the limit on
-/// overflow.
-constexpr Duration kOverflowSuspension = std::chrono::seconds(4);
-
 /// Average size of answers before there is a sample, and gain of the moving
 /// average.
 constexpr double kInitialAnswerKb = 2.0;
@@ -92,6 +88,7 @@
     // not taken for new servers.
     const bool idle = state.is_leaving() && !state.entry().draining;
     if (idle && state.own_running() == 0) {
+      unreachable_ -= it->second->reach == ServerReach::kDirect ? 0 : 1;
       std::erase(by_service_[state.entry().service], it->second.get());
       it = states_.erase(it);
     } else {
@@ -155,7 +152,8 @@
   const std::vector<ServerSlot*>& slots = found->second;
   const ObjectHomes homes = request.object == 0
                                 ? ObjectHomes()
-                                : HomesOf(request, self_.region, slots, now);
+                                : HomesOf(request, RegionOf(request), slots,
+                                          HomeScope::kReachable, now);
   Candidate near;
   Candidate far;
   for (const ServerSlot* slot : slots) {
@@ -168,12 +166,13 @@
     const Candidate candidate = Evaluate(*slot, homes, request, now);
     if (now + candidate.expected > request.deadline && candidate.must_wait)
       continue;
-    const bool in_other_region = slot->distance == Distance::kOtherRegion;
+    const bool in_other_region =
+        DistanceFor(*slot, request) == Distance::kOtherRegion;
     Candidate& best = in_other_region ? far : near;
     if (best.slot == nullptr || candidate.cost < best.cost)
       best = candidate;
   }
-  const bool must_leave_region = !request.MayRunIn(self_.region);
+  const bool must_leave_region = !request.MayRunIn(RegionOf(request));
   const bool may_leave =
       far.slot != nullptr && (must_leave_region || far.slot == homes.home ||
                               overflow_limiter_.CanOverflow(now));
@@ -182,10 +181,11 @@
   const Candidate& best = may_leave && should_leave ? far : near;
   if (best.slot == nullptr)
     return std::nullopt;
-  const bool overflow = best.slot->distance == Distance::kOtherRegion &&
+  const Distance distance = DistanceFor(*best.slot, request);
+  const bool overflow = distance == Distance::kOtherRegion &&
                         best.slot != homes.home && !must_leave_region;
   BackendChoice choice{best.slot->state.entry().id(),
-                       best.slot->distance,
+                       distance,
                        overflow,
                        best.warm,
                        best.slot->state.ObjectsSince(request.object),
@@ -211,7 +211,7 @@
   const double answer_kb =
       size == answer_kb_.end() ? kInitialAnswerKb : size->second;
   double cost = ServerCost(slot, wait + work, now) +
-                DistanceCost(slot.distance, answer_kb);
+                DistanceCost(DistanceFor(slot, request), answer_kb);
   if (!warm && &slot != homes.home)
     cost += kColdOverflowCostFactor * Milliseconds(work);
   return {&slot, cost, warm, wait > Duration::zero(), wait + work};
@@ -219,10 +219,13 @@
 
 bool BackendPicker::IsUsable(const ServerSlot& slot,
                              const PickRequest& request,
-                             TimePoint now) {
+                             TimePoint now) const {
   const BackendState& state = slot.state;
-  if (!slot.MayRun(request) || state.IsEjected(now) || !HasRoom(slot, now) ||
-      !slot.HasConnection() || !slot.limit.CanSend(now))
+  // Connections that are open show that an ejected server has not failed.
+  const bool is_ejected =
+      state.IsEjected(now) && slot.reach != ServerReach::kOpenConnections;
+  if (!slot.MayRun(request) || !IsReachable(slot) || is_ejected ||
+      !HasRoom(slot, now) || !slot.HasConnection() || !slot.limit.CanSend(now))
     return false;
   return !state.IsCold(now) || state.HasColdToken(slot.cold_rate, now);
 }
@@ -276,6 +279,11 @@
       warmth_.Add(request.service, *choice.objects_since, was_warm);
   }
   const bool ejected = state.IsEjected(now);
+  const bool is_evidence = outcome == RequestOutcome::kOk ||
+                           outcome == RequestOutcome::kShed ||
+                           found->second->reach == ServerReach::kDirect;
+  if (!is_evidence)
+    outcome = RequestOutcome::kCancelled;
   state.OnFinished(outcome, latency, expected, request.object, now);
   if (!ejected && state.IsEjected(now) &&
       found->second->region == self_.region && outcome != RequestOutcome::kShed)
@@ -308,10 +316,11 @@
   return latencies_.Expected(request.kind, true, request.objective);
 }
 
+// Requests to servers that are not reached do not run there.
 std::vector<BackendUse> BackendPicker::LocalUse() const {
   std::vector<BackendUse> use;
   for (const auto& [id, slot] : states_) {
-    if (slot->state.own_running() > 0)
+    if (slot->state.own_running() > 0 && slot->reach != ServerReach::kNone)
       use.push_back({id, slot->state.own_running()});
   }
   return use;
@@ -320,7 +329,8 @@
 std::vector<BackendUse> BackendPicker::LocalUseIn(RegionId region) const {
   std::vector<BackendUse> use;
   for (const auto& [id, slot] : states_) {
-    if (slot->state.own_running() > 0 && slot->region == region)
+    if (slot->state.own_running() > 0 && slot->region == region &&
+        slot->reach != ServerReach::kNone)
       use.push_back({id, slot->state.own_running()});
   }
   return use;
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -4,10 +4,12 @@
 #define COMFREYVANE_EDGE_BACKEND_PICKER_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "comfreyvane/edge/backend_choice.h"
@@ -21,7 +23,9 @@
 #include "comfreyvane/edge/named_limit.h"
 #include "comfreyvane/edge/object_homes.h"
 #include "comfreyvane/edge/overflow_limiter.h"
+#include "comfreyvane/edge/path_monitor.h"
 #include "comfreyvane/edge/pick_request.h"
+#include "comfreyvane/edge/server_reach.h"
 #include "comfreyvane/edge/server_slot.h"
 #include "comfreyvane/edge/warmth_model.h"
 
@@ -75,6 +79,29 @@
   void SetMaxConnections(
       std::unordered_map<ServiceId, std::uint32_t> max_connections);
 
+  /// Sets how this host reaches each server. One that is reached again starts
+  /// without a record of failures.
+  void ApplyReach(const PathMonitor& paths, TimePoint now);
+  [[nodiscard]] ServerReach ReachOf(BackendServerId server) const;
+  /// @return whether the failure domain of a server is evacuated.
+  [[nodiscard]] bool IsEvacuated(BackendServerId server) const;
+  /// @param has_open_connection whether an idle connection to a server is open.
+  void SetOpenConnections(
+      std::function<bool(BackendServerId)> has_open_connection) {
+    has_open_connection_ = std::move(has_open_connection);
+  }
+  /// @return a server that this host does not reach and that should run the
+  ///     request: its object's home or, without an object, any if no server
+  ///     nearby can be reached. Nothing if the request can go its way.
+  [[nodiscard]] std::optional<BackendServerId> UnreachableFor(
+      const PickRequest& request,
+      TimePoint now) const;
+  /// @return any server that may run the request and is not reached.
+  [[nodiscard]] std::optional<BackendServerId> AnyUnreachableFor(
+      const PickRequest& request) const;
+  /// @return whether this host reaches a server that may run the request.
+  [[nodiscard]] bool CanReach(const PickRequest& request) const;
+
   /// Selects the server for a request. The request is not counted until
   /// OnStarted is called.
   /// @return nothing if no server has free capacity.
@@ -157,13 +184,23 @@
     Duration expected{};  ///< Time until the answer, without network delay.
   };
 
+  /// Time for which a failure of servers in the region suspends the limit on
+  /// overflow.
+  static constexpr Duration kOverflowSuspension = std::chrono::seconds(4);
+
   [[nodiscard]] static LimitReport ReportOf(const ServerSlot& slot,
                                             TimePoint now);
   void ApplyMaxConnections(ServerSlot& slot) const;
   [[nodiscard]] Distance DistanceOf(FailureDomainId domain) const;
-  [[nodiscard]] static bool IsUsable(const ServerSlot& slot,
-                                     const PickRequest& request,
-                                     TimePoint now);
+  /// @return the region whose servers come first for a request.
+  [[nodiscard]] RegionId RegionOf(const PickRequest& request) const;
+  /// @return the distance of a server from the caller's host.
+  [[nodiscard]] Distance DistanceFor(const ServerSlot& slot,
+                                     const PickRequest& request) const;
+  [[nodiscard]] bool IsReachable(const ServerSlot& slot) const;
+  [[nodiscard]] bool IsUsable(const ServerSlot& slot,
+                              const PickRequest& request,
+                              TimePoint now) const;
   [[nodiscard]] Candidate Evaluate(const ServerSlot& slot,
                                    const ObjectHomes& homes,
                                    const PickRequest& request,
@@ -181,6 +218,8 @@
   /// Average size of answers by kind of request, kilobytes.
   std::unordered_map<std::uint64_t, double> answer_kb_;
   OverflowLimiter overflow_limiter_;
+  std::size_t unreachable_ = 0;  ///< Servers that are not reached directly.
+  std::function<bool(BackendServerId)> has_open_connection_;
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -91,11 +91,7 @@
     objects_.clear();
     is_used_ = false;
     slowness_ = 1.0;
-    failure_rate_ = 0.0;
-    samples_ = 0;
-    ejections_in_row_ = 0;
-    ejected_until_ = TimePoint{};
-    failing_until_ = TimePoint{};
+    ForgetFailures();
   }
   if (entry.cold_for > Duration::zero())
     SetCold(entry.cold_for, now);
@@ -105,6 +101,14 @@
   cold_until_ = std::max(cold_until_, now + cold_for);
 }
 
+void BackendState::ForgetFailures() {
+  failure_rate_ = 0.0;
+  samples_ = 0;
+  ejections_in_row_ = 0;
+  ejected_until_ = TimePoint{};
+  failing_until_ = TimePoint{};
+}
+
 void BackendState::OnStarted(TimePoint now) {
   if (own_running_ == 0)
     silent_since_ = now;
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -68,6 +68,8 @@
   /// Marks a server that the registry no longer lists.
   void MarkRemoved() { is_removed_ = true; }
   void SetCold(Duration cold_for, TimePoint now);
+  /// Ends ejections and forgets the failures that led to them.
+  void ForgetFailures();
 
   void OnStarted(TimePoint now);
   /// @param latency from dispatch to the end of the answer.
--- /dev/null
+++ b/src/comfreyvane/edge/carrier.h
@@ -0,0 +1,26 @@
+/// @file
+/// A host that can carry requests of another host to backend servers.
+#ifndef COMFREYVANE_EDGE_CARRIER_H_
+#define COMFREYVANE_EDGE_CARRIER_H_
+
+#include <cstdint>
+
+#include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/fleet_host.h"
+#include "comfreyvane/edge/path_group.h"
+
+namespace comfreyvane {
+
+/// A host that has been chosen to carry a request, and what led to the choice.
+struct Carrier {
+  FleetHost host;
+  std::uint64_t incarnation = 0;
+  PathGroup group;        ///< That the chosen host reaches.
+  Duration report_age{};  ///< Age of its report that it does.
+
+  friend bool operator==(const Carrier&, const Carrier&) = default;
+};
+
+}  // namespace comfreyvane
+
+#endif  // COMFREYVANE_EDGE_CARRIER_H_
--- a/src/comfreyvane/edge/object_homes.cc
+++ b/src/comfreyvane/edge/object_homes.cc
@@ -65,9 +65,14 @@
 
 bool CanBeHome(const ServerSlot& slot,
                const PickRequest& request,
+               HomeScope scope,
                TimePoint now) {
-  return slot.MayRun(request) && !slot.state.IsCold(now) &&
-         !slot.state.IsFailing(now);
+  if (!slot.MayRun(request) || slot.state.IsCold(now))
+    return false;
+  // A server that is not reached has failed for this host only.
+  if (slot.reach != ServerReach::kDirect && scope == HomeScope::kAll)
+    return true;
+  return slot.reach != ServerReach::kNone && !slot.state.IsFailing(now);
 }
 
 /// @return whether a server joined long enough ago to be the home of an object.
@@ -107,6 +112,7 @@
 ObjectHomes HomesOf(const PickRequest& request,
                     RegionId self,
                     const std::vector<ServerSlot*>& slots,
+                    HomeScope scope,
                     TimePoint now) {
   const bool in_other_region =
       request.regions.empty()
@@ -119,7 +125,7 @@
   double running = 0.0;
   double settled_slots = 0.0;
   for (const ServerSlot* slot : slots) {
-    if (!CanBeHome(*slot, request, now))
+    if (!CanBeHome(*slot, request, scope, now))
       continue;
     const std::uint64_t hash = HashOf(*slot, request.object);
     const bool is_settled = IsSettled(*slot, request.object, now);
--- a/src/comfreyvane/edge/object_homes.h
+++ b/src/comfreyvane/edge/object_homes.h
@@ -34,6 +34,12 @@
   friend bool operator==(const ObjectHomes&, const ObjectHomes&) = default;
 };
 
+/// Servers that can be homes.
+enum class HomeScope {
+  kReachable,
+  kAll,  ///< Also those that this host does not reach, but others may.
+};
+
 /// Finds the homes of the request's object by rendezvous hashing, so that all
 /// hosts of a region agree on them without communication. A region with few
 /// servers has the homes of some of its objects in other regions.
@@ -42,6 +48,7 @@
 [[nodiscard]] ObjectHomes HomesOf(const PickRequest& request,
                                   RegionId self,
                                   const std::vector<ServerSlot*>& slots,
+                                  HomeScope scope,
                                   TimePoint now);
 
 }  // namespace comfreyvane
--- /dev/null
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -0,0 +1,465 @@
+#include "comfreyvane/edge/path_monitor.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace comfreyvane {
+namespace {
+
+/// Number of servers whose failure counts as a lost path, or all of a smaller
+/// group. One server's failure never does.
+constexpr std::size_t kMinServers = 3;
+constexpr std::size_t kMinServersOfSmallGroup = 2;
+
+/// Number of servers that have to answer probes before a path counts as back.
+constexpr std::size_t kMinProbed = 2;
+
+/// Time without any answer of a group, as a multiple of the mean time between
+/// its answers, after which the group counts as silent. With answers at random
+/// times, such a pause has a probability of 6e-6.
+constexpr double kSilenceFactor = 12.0;
+constexpr Duration kMinSilence = std::chrono::milliseconds(300);
+constexpr Duration kMaxSilence = std::chrono::seconds(2);
+/// The same for all servers together after an idle time.
+constexpr Duration kMaxFirstSilence = std::chrono::seconds(1);
+
+/// Assumed time between answers before there are samples, and gain of the
+/// moving average.
+constexpr Duration kInitialGap = std::chrono::milliseconds(200);
+constexpr Duration kMaxGap = std::chrono::seconds(1);
+constexpr double kGapGain = 0.05;
+
+/// Time without an answer after which one server counts as silent. Longer than
+/// a round trip between regions and the wait for a slot.
+constexpr Duration kServerSilence = std::chrono::milliseconds(250);
+
+/// Time within which the connects of probes succeed if there is a path: two
+/// round trips between regions.
+constexpr Duration kProbeConnectTime = std::chrono::milliseconds(100);
+
+/// Time for which failed connects, lost connections and other hosts' answers
+/// are evidence.
+constexpr Duration kConnectMemory = std::chrono::milliseconds(1500);
+constexpr Duration kSuspicionMemory = std::chrono::milliseconds(500);
+constexpr Duration kWitnessMemory = std::chrono::seconds(1);
+
+/// Maximum age of answers that a host reports to others.
+constexpr Duration kMaxReportAge = std::chrono::seconds(2);
+
+/// Time over which requests return to a path, and the fraction that returns at
+/// once.
+constexpr Duration kReturnTime = std::chrono::seconds(2);
+constexpr double kInitialReturn = 0.1;
+
+/// Updates come every 50 ms. After a longer pause, answers may have arrived
+/// that have not been read yet.
+constexpr Duration kMaxUpdateGap = std::chrono::milliseconds(200);
+
+bool IsWithin(TimePoint event, Duration memory, TimePoint now) {
+  return event != TimePoint{} && now - event < memory;
+}
+
+}  // namespace
+
+void PathMonitor::OnListed(BackendServerId server,
+                           ServiceId service,
+                           FailureDomainId domain) {
+  const Server record{.groups = {PathGroup::All(), PathGroup::Of(domain),
+                                 PathGroup::Of(service)},
+                      .domain = domain};
+  if (!servers_.emplace(server, record).second)
+    return;
+  for (const PathGroup& id : record.groups) {
+    Group& group = groups_[id];
+    group.members.insert(server);
+    ++group.domains[domain];
+  }
+}
+
+void PathMonitor::OnGone(BackendServerId server) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  for (const PathGroup& id : found->second.groups) {
+    const auto row = groups_.find(id);
+    Group& group = row->second;
+    group.running -= found->second.running;
+    group.members.erase(server);
+    group.probed.erase(server);
+    if (--group.domains[found->second.domain] == 0)
+      group.domains.erase(found->second.domain);
+    if (!group.members.empty())
+      continue;
+    if (group.state != State::kOpen)
+      --disturbed_;
+    groups_.erase(row);
+  }
+  running_.erase(server);
+  failing_.erase(server);
+  servers_.erase(found);
+}
+
+void PathMonitor::OnSent(BackendServerId server, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  if (found->second.running++ == 0)
+    found->second.silent_since = now;
+  running_.insert(server);
+  for (const PathGroup& id : found->second.groups) {
+    Group& group = groups_.at(id);
+    // What ended without an answer does not end a silence.
+    if (group.running++ == 0 && group.last_answer >= group.busy_since)
+      group.busy_since = now;
+  }
+}
+
+void PathMonitor::OnAnswered(BackendServerId server, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  found->second.silent_since = now;
+  for (const PathGroup& id : found->second.groups) {
+    Group& group = groups_.at(id);
+    if (group.last_answer == TimePoint{})
+      group.mean_gap_ns = static_cast<double>(kInitialGap.count());
+    const Duration gap = std::min(kMaxGap, now - group.last_answer);
+    group.mean_gap_ns +=
+        kGapGain * (static_cast<double>(gap.count()) - group.mean_gap_ns);
+    group.last_answer = now;
+  }
+  OnUnanswered(server);
+}
+
+void PathMonitor::OnUnanswered(BackendServerId server) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end() || found->second.running == 0)
+    return;
+  if (--found->second.running == 0)
+    running_.erase(server);
+  for (const PathGroup& id : found->second.groups)
+    --groups_.at(id).running;
+}
+
+void PathMonitor::OnConnectionLost(BackendServerId server, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  found->second.connection_lost_at = now;
+  failing_.insert(server);
+  OnUnanswered(server);
+}
+
+void PathMonitor::OnConnected(BackendServerId server, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  found->second.connect_failed_at = TimePoint{};
+  for (const PathGroup& id : found->second.groups)
+    groups_.at(id).last_connect = now;
+}
+
+void PathMonitor::OnConnectFailed(BackendServerId server, TimePoint now) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  found->second.connect_failed_at = now;
+  failing_.insert(server);
+}
+
+void PathMonitor::OnProbeAnswered(BackendServerId server, TimePoint) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end())
+    return;
+  for (const PathGroup& id : found->second.groups) {
+    Group& group = groups_.at(id);
+    if (group.state == State::kLost)
+      group.probed.insert(server);
+  }
+}
+
+void PathMonitor::OnPeerReport(HostId peer,
+                               const std::vector<PathReport>& reports,
+                               TimePoint now) {
+  for (const PathReport& report : reports) {
+    const auto found = groups_.find(report.group);
+    if (found == groups_.end())
+      continue;
+    const Witness witness{peer, now - report.age};
+    auto& newest = found->second.witness;
+    if (!newest || witness.answered_at > newest->answered_at)
+      newest = witness;
+  }
+}
+
+std::vector<PathChange> PathMonitor::Update(TimePoint now) {
+  if (now - updated_at_ > kMaxUpdateGap)
+    resumed_at_ = now;
+  updated_at_ = now;
+  std::vector<PathChange> changes;
+  // The group of all servers comes first in the order.
+  for (auto& [id, group] : groups_) {
+    if (IsIncluded(id))
+      break;
+    if (auto change = Judge(id, group, now))
+      changes.push_back(*change);
+  }
+  const bool all_changed =
+      !changes.empty() && changes.front().group == PathGroup::All();
+  if (all_changed)
+    ResetParts(now);
+  ForgetFailures(now);
+  return changes;
+}
+
+void PathMonitor::ForgetFailures(TimePoint now) {
+  std::erase_if(failing_, [&](BackendServerId server) {
+    Server& record = servers_.at(server);
+    return !IsWithin(record.connect_failed_at, kConnectMemory, now) &&
+           !IsWithin(record.connection_lost_at, kSuspicionMemory, now);
+  });
+}
+
+std::optional<PathChange> PathMonitor::Judge(const PathGroup& id,
+                                             Group& group,
+                                             TimePoint now) {
+  PathChange change{.group = id,
+                    .silence = SilenceOf(group, now),
+                    .lasted = now - group.changed_at};
+  if (group.state == State::kLost) {
+    const std::size_t needed = std::min(kMinProbed, group.members.size());
+    if (group.probed.size() < needed)
+      return std::nullopt;
+    SetState(group, State::kRegained, now);
+    change.kind = PathChange::Kind::kRegained;
+    return change;
+  }
+  const Evidence evidence = EvidenceOn(id, group, now);
+  change.silent = evidence.silent;
+  change.refused = evidence.refusing.size();
+  if (evidence.silent == 0)
+    group.suspected_at = TimePoint{};
+  else if (group.suspected_at == TimePoint{})
+    group.suspected_at = now;
+  if (!AreSeveral(evidence.refusing, group))
+    group.refused_at = TimePoint{};
+  else if (group.refused_at == TimePoint{})
+    group.refused_at = now;
+  const bool fails_connects = group.refused_at != TimePoint{} &&
+                              now - group.refused_at >= kProbeConnectTime;
+  const bool has_witness =
+      group.witness && group.witness->answered_at > group.last_answer &&
+      IsWithin(group.witness->answered_at, kWitnessMemory, now);
+  // Probes have had time to be answered.
+  const bool is_silent = group.suspected_at != TimePoint{} &&
+                         now - group.suspected_at >= kServerSilence &&
+                         has_witness && AreSeveral(evidence.servers, group);
+  if (fails_connects || is_silent) {
+    if (!fails_connects)
+      change.witness = group.witness->host;
+    SetState(group, State::kLost, now);
+    group.fails_connects = fails_connects;
+    change.kind = PathChange::Kind::kLost;
+    return change;
+  }
+  if (group.state != State::kRegained || now - group.changed_at < kReturnTime)
+    return std::nullopt;
+  SetState(group, State::kOpen, now);
+  change.kind = PathChange::Kind::kOpen;
+  return change;
+}
+
+void PathMonitor::SetState(Group& group, State state, TimePoint now) {
+  if (group.state != State::kOpen)
+    --disturbed_;
+  if (state != State::kOpen)
+    ++disturbed_;
+  group.state = state;
+  group.changed_at = now;
+  group.probed.clear();
+  group.suspected_at = TimePoint{};
+  group.refused_at = TimePoint{};
+  if (state == State::kLost)
+    return;
+  // Earlier evidence belongs to the time before the path was regained.
+  group.last_answer = now;
+  group.last_connect = now;
+  group.direct_credit = 0.0;
+}
+
+void PathMonitor::ResetParts(TimePoint now) {
+  for (auto& [id, group] : groups_) {
+    if (id.kind != PathGroup::Kind::kAll)
+      SetState(group, State::kOpen, now);
+  }
+}
+
+PathMonitor::Evidence PathMonitor::EvidenceOn(const PathGroup& id,
+                                              const Group& group,
+                                              TimePoint now) const {
+  Evidence evidence;
+  const auto is_member = [&id](const Server& record) {
+    return std::ranges::find(record.groups, id) != record.groups.end();
+  };
+  for (const BackendServerId server : failing_) {
+    const Server& record = servers_.at(server);
+    if (!is_member(record))
+      continue;
+    const bool refuses =
+        record.connect_failed_at > group.last_connect &&
+        IsWithin(record.connect_failed_at, kConnectMemory, now);
+    const bool was_lost =
+        record.connection_lost_at > group.last_connect &&
+        IsWithin(record.connection_lost_at, kSuspicionMemory, now);
+    if (refuses) {
+      evidence.servers.insert(server);
+      evidence.refusing.insert(server);
+    }
+    evidence.failing += refuses || was_lost ? 1 : 0;
+  }
+  if (!IsSilent(id, group, now))
+    return evidence;
+  for (const BackendServerId server : running_) {
+    const Server& record = servers_.at(server);
+    const TimePoint heard =
+        std::max({record.silent_since, group.changed_at, resumed_at_});
+    if (!is_member(record) || now - heard < kServerSilence)
+      continue;
+    ++evidence.silent;
+    evidence.servers.insert(server);
+  }
+  return evidence;
+}
+
+bool PathMonitor::AreSeveral(const std::set<BackendServerId>& servers,
+                             const Group& group) const {
+  const std::size_t needed = std::max(
+      kMinServersOfSmallGroup, std::min(kMinServers, group.members.size()));
+  if (servers.size() < needed)
+    return false;
+  const FailureDomainId first = servers_.at(*servers.begin()).domain;
+  return group.domains.size() == 1 ||
+         std::ranges::any_of(servers, [&](BackendServerId server) {
+           return servers_.at(server).domain != first;
+         });
+}
+
+Duration PathMonitor::SilenceOf(const Group& group, TimePoint now) const {
+  return now - std::max(group.last_answer, resumed_at_);
+}
+
+bool PathMonitor::IsSilent(const PathGroup& id,
+                           const Group& group,
+                           TimePoint now) const {
+  if (group.running == 0 || group.last_answer == TimePoint{})
+    return false;
+  // The first answers after an idle time take as long as the work does.
+  if (group.busy_since - group.last_answer > kMinSilence) {
+    const Duration limit =
+        id.kind == PathGroup::Kind::kAll ? kMaxFirstSilence : kMaxSilence;
+    return now - std::max(group.busy_since, resumed_at_) > limit;
+  }
+  const auto limit =
+      Duration(static_cast<Duration::rep>(kSilenceFactor * group.mean_gap_ns));
+  return SilenceOf(group, now) > std::clamp(limit, kMinSilence, kMaxSilence);
+}
+
+bool PathMonitor::NeedsProbes(const PathGroup& id,
+                              const Group& group,
+                              TimePoint now) const {
+  if (IsIncluded(id))
+    return false;
+  if (group.state == State::kLost)
+    return true;
+  if (failing_.empty() && !IsSilent(id, group, now))
+    return false;
+  const Evidence evidence = EvidenceOn(id, group, now);
+  return evidence.silent > 0 || evidence.failing >= kMinServersOfSmallGroup;
+}
+
+std::vector<BackendServerId> PathMonitor::ProbeOrder(const Group& group) {
+  std::vector<BackendServerId> order(group.members.begin(),
+                                     group.members.end());
+  const auto first =
+      static_cast<std::ptrdiff_t>(probe_round_++ * kMinServers % order.size());
+  std::rotate(order.begin(), order.begin() + first, order.end());
+  return order;
+}
+
+ServerReach PathMonitor::ReachOf(BackendServerId server, TimePoint now) const {
+  const auto lost = LostGroupOf(server);
+  if (!lost)
+    return ServerReach::kDirect;
+  const Group& group = groups_.at(*lost);
+  const bool answers = !IsSilent(*lost, group, now);
+  return group.fails_connects && answers ? ServerReach::kOpenConnections
+                                         : ServerReach::kNone;
+}
+
+std::optional<PathGroup> PathMonitor::LostGroupOf(
+    BackendServerId server) const {
+  const auto found = servers_.find(server);
+  if (disturbed_ == 0 || found == servers_.end())
+    return std::nullopt;
+  for (const PathGroup& id : found->second.groups) {
+    if (groups_.at(id).state == State::kLost)
+      return id;
+  }
+  return std::nullopt;
+}
+
+std::optional<PathGroup> PathMonitor::HoldBack(BackendServerId server,
+                                               TimePoint now) {
+  const auto found = servers_.find(server);
+  if (disturbed_ == 0 || found == servers_.end())
+    return std::nullopt;
+  for (const PathGroup& id : found->second.groups) {
+    Group& group = groups_.at(id);
+    if (group.state != State::kRegained)
+      continue;
+    const double elapsed =
+        static_cast<double>((now - group.changed_at).count()) /
+        static_cast<double>(kReturnTime.count());
+    group.direct_credit += std::clamp(elapsed, kInitialReturn, 1.0);
+    if (group.direct_credit < 1.0)
+      return id;
+    group.direct_credit -= 1.0;
+  }
+  return std::nullopt;
+}
+
+std::vector<PathGroup> PathMonitor::AskedGroups(TimePoint now) const {
+  std::vector<PathGroup> asked;
+  for (const auto& [id, group] : groups_) {
+    if (group.state != State::kOpen || NeedsProbes(id, group, now))
+      asked.push_back(id);
+  }
+  return asked;
+}
+
+std::vector<PathReport> PathMonitor::ReportsOn(
+    const std::vector<PathGroup>& groups,
+    TimePoint now) const {
+  std::vector<PathReport> reports;
+  if (AllLost())
+    return reports;
+  for (const PathGroup& id : groups) {
+    const auto found = groups_.find(id);
+    if (found == groups_.end() || found->second.state == State::kLost ||
+        !IsWithin(found->second.last_answer, kMaxReportAge, now))
+      continue;
+    reports.push_back({id, now - found->second.last_answer});
+  }
+  return reports;
+}
+
+bool PathMonitor::AllLost() const {
+  const auto all = groups_.find(PathGroup::All());
+  return all != groups_.end() && all->second.state == State::kLost;
+}
+
+bool PathMonitor::IsIncluded(const PathGroup& id) const {
+  return id.kind != PathGroup::Kind::kAll && AllLost();
+}
+
+}  // namespace comfreyvane
--- a/src/comfreyvane/edge/pick_request.h
+++ b/src/comfreyvane/edge/pick_request.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "comfreyvane/base/basic_id.h"
@@ -25,6 +26,9 @@
   TimePoint deadline = TimePoint::max();
   std::vector<RegionId> regions;  ///< Regions where it may run; empty: all.
   std::vector<BackendServerId> excluded;  ///< Servers of earlier attempts.
+  /// Region of the host that the caller is connected to, whose servers come
+  /// first; empty: that of this host.
+  std::optional<RegionId> origin_region{};
 
   [[nodiscard]] bool MayRunIn(RegionId region) const {
     return regions.empty() ||
--- a/src/comfreyvane/edge/server_slot.h
+++ b/src/comfreyvane/edge/server_slot.h
@@ -12,6 +12,7 @@
 #include "comfreyvane/edge/backend_state.h"
 #include "comfreyvane/edge/pick_request.h"
 #include "comfreyvane/edge/server_limit.h"
+#include "comfreyvane/edge/server_reach.h"
 #include "comfreyvane/route/distance.h"
 
 namespace comfreyvane {
@@ -31,6 +32,8 @@
   /// Requests that this host may run there at once; each has a connection.
   std::uint32_t max_connections = std::numeric_limits<std::uint32_t>::max();
 
+  ServerReach reach = ServerReach::kDirect;
+
   /// @return whether another request of this host may have a connection.
   [[nodiscard]] bool HasConnection() const {
     return state.own_running() < max_connections;
--- a/src/comfreyvane/edge/wait_policy.cc
+++ b/src/comfreyvane/edge/wait_policy.cc
@@ -20,6 +20,9 @@
 /// request per second.
 constexpr Duration kMaxLimitRetryAfter = std::chrono::seconds(10);
 
+/// Time in which two rounds of probes find out that a path is back.
+constexpr Duration kPathRetryAfter = std::chrono::milliseconds(500);
+
 /// Longer waits are all the same; keeps sums of durations in range.
 constexpr double kMaxForeseenSeconds = 3600.0;
 
@@ -52,6 +55,10 @@
   return room.wait + FromSeconds(std::min(seconds, kMaxForeseenSeconds));
 }
 
+Duration NoPathRetryAfter() {
+  return kPathRetryAfter;
+}
+
 Duration LimitRetryAfter(const LimitedRoom& room) {
   if (room.fleet_rate * Seconds(kMaxLimitRetryAfter) <= 1.0)
     return kMaxLimitRetryAfter;
--- a/src/comfreyvane/edge/wait_policy.h
+++ b/src/comfreyvane/edge/wait_policy.h
@@ -36,6 +36,10 @@
 ///     maximum if none can be foreseen.
 [[nodiscard]] Duration LimitWait(const LimitedRoom& room, std::size_t ahead);
 
+/// @return the delay after which a caller may retry that no host can serve now
+///     since none is known to reach the servers.
+[[nodiscard]] Duration NoPathRetryAfter();
+
 /// @return the delay after which a caller that limits have refused may retry at
 ///     any host: the interval at which all servers together take requests.
 [[nodiscard]] Duration LimitRetryAfter(const LimitedRoom& room);
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -5,8 +5,10 @@
 #include <string>
 #include <utility>
 
+#include "comfreyvane/gateway/carried_codec.h"
 #include "comfreyvane/gateway/message_heads.h"
 #include "comfreyvane/net/clock.h"
+#include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/net/streamed_message.h"
 
 namespace comfreyvane {
@@ -59,17 +61,27 @@
 
 struct BackendClient::Attempt {
   const GatewayRequest& request;
+  BackendServerId server{};  ///< Not set if a carrier gets the request.
+  std::string code{};        ///< Authentication code sent to a carrier.
   std::unique_ptr<BackendConnection> connection{};
-  bool is_pooled = false;
   bool is_cancelled = false;
-  bool is_sent = false;  ///< At least partly.
+  bool is_sent = false;      ///< At least partly.
+  bool is_answered = false;  ///< At least the head of an answer.
   CallResult result{};
 };
 
 BackendClient::BackendClient(GatewayContext& context,
                              asio::io_context& io,
                              TimeoutSweeper& sweeper)
-    : context_(context), io_(io), sweeper_(sweeper), pool_(kIdleLimit) {}
+    : context_(context),
+      io_(io),
+      sweeper_(sweeper),
+      pool_(kIdleLimit),
+      carrier_pool_(kIdleLimit) {
+  context_.backends.SetOpenConnections([this](BackendServerId server) {
+    return pool_.HasLive(server, MonotonicNow());
+  });
+}
 
 TimePoint BackendClient::AnswerDeadline(const GatewayRequest& request) {
   return request.deadline + kAnswerGrace;
@@ -81,24 +93,40 @@
     BackendServerId server,
     std::function<void(std::function<void()>)> watch,
     std::function<void()> unwatch) {
-  Attempt attempt{.request = request};
+  Attempt attempt{.request = request, .server = server};
   const BackendState* const state = context_.backends.Find(server);
   if (state == nullptr)
     co_return std::move(attempt.result);
-  const BackendEntry entry = state->entry();
   watch([&attempt] {
     attempt.is_cancelled = true;
     if (attempt.connection)
       attempt.connection->Cancel();
   });
-  attempt.connection = pool_.Take(server, MonotonicNow());
-  attempt.is_pooled = attempt.connection != nullptr;
-  attempt.result.used_open_connection = attempt.is_pooled;
-  if (!attempt.is_pooled)
-    co_await Connect(attempt, entry);
-  if (attempt.connection && !attempt.is_cancelled)
-    co_await Send(attempt, head, entry);
+  running_.insert(&attempt);
+  co_await SendToServer(attempt, head, state->entry());
+  running_.erase(&attempt);
+  unwatch();
+  co_return Finish(attempt);
+}
+
+asio::awaitable<CallResult> BackendClient::CallCarrier(
+    const GatewayRequest& request,
+    const RequestHead& head,
+    const Carrier& carrier,
+    std::function<void(std::function<void()>)> watch,
+    std::function<void()> unwatch) {
+  Attempt attempt{.request = request};
+  watch([&attempt] {
+    attempt.is_cancelled = true;
+    if (attempt.connection)
+      attempt.connection->Cancel();
+  });
+  co_await SendToCarrier(attempt, head, carrier);
   unwatch();
+  co_return Finish(attempt);
+}
+
+CallResult BackendClient::Finish(Attempt& attempt) {
   if (attempt.is_cancelled) {
     attempt.result.caller_gone = true;
     attempt.result.head.reset();
@@ -107,43 +135,121 @@
     attempt.connection.reset();
   }
   attempt.result.connection = std::move(attempt.connection);
-  co_return std::move(attempt.result);
+  return std::move(attempt.result);
+}
+
+void BackendClient::AbandonUnreachable() {
+  for (Attempt* const attempt : running_) {
+    const bool is_lost =
+        context_.backends.ReachOf(attempt->server) == ServerReach::kNone;
+    if (is_lost && attempt->request.route->idempotent &&
+        !attempt->is_answered && attempt->connection)
+      attempt->connection->Cancel();
+  }
 }
 
-asio::awaitable<void> BackendClient::Connect(Attempt& attempt,
-                                             const BackendEntry& entry) {
+asio::awaitable<bool> BackendClient::Connect(Attempt& attempt,
+                                             std::string address,
+                                             std::uint16_t port) {
   error_code error;
-  const auto address = asio::ip::make_address(entry.address, error);
+  const auto ip = asio::ip::make_address(address, error);
   if (error)
-    co_return;
+    co_return false;
   const TimePoint begun = MonotonicNow();
   attempt.connection = std::make_unique<BackendConnection>(io_, sweeper_);
   attempt.connection->AllowUnframedAnswers();
   const ExchangeFailure failure = co_await attempt.connection->Connect(
-      {address, entry.port},
-      std::min(attempt.request.deadline, begun + kConnectTimeout));
+      {ip, port}, std::min(attempt.request.deadline, begun + kConnectTimeout));
   if (failure != ExchangeFailure::kNone) {
     attempt.connection.reset();
-    co_return;
+    co_return false;
   }
   const TimePoint now = MonotonicNow();
-  context_.metrics.Count(CounterName::kBackendConnections);
   context_.metrics.Record(LatencyName::kBackendConnect, now - begun, now);
+  co_return true;
+}
+
+asio::awaitable<void> BackendClient::SendToServer(Attempt& attempt,
+                                                  const RequestHead& head,
+                                                  BackendEntry entry) {
+  const BackendServerId server = attempt.server;
+  attempt.connection = pool_.Take(server, MonotonicNow());
+  attempt.result.used_open_connection = attempt.connection != nullptr;
+  if (!attempt.connection) {
+    if (context_.backends.ReachOf(server) != ServerReach::kDirect)
+      co_return;
+    const bool is_connected =
+        co_await Connect(attempt, entry.address, entry.port);
+    if (!is_connected && !attempt.is_cancelled)
+      context_.paths.OnConnectFailed(server, MonotonicNow());
+    if (!is_connected)
+      co_return;
+    context_.metrics.Count(CounterName::kBackendConnections);
+    context_.paths.OnConnected(server, MonotonicNow());
+  }
+  const TimePoint now = MonotonicNow();
+  if (attempt.is_cancelled)
+    co_return;
+  context_.paths.OnSent(server, now);
+  co_await Send(
+      attempt, HeadToBackend(head, attempt.request, entry.name,
+                             attempt.request.deadline - now, context_.headers));
+  RecordPath(attempt, server);
 }
 
-asio::awaitable<void> BackendClient::Send(Attempt& attempt,
-                                          const RequestHead& head,
-                                          const BackendEntry& entry) {
+void BackendClient::RecordPath(const Attempt& attempt, BackendServerId server) {
+  if (attempt.is_answered)
+    return;
+  if (attempt.result.outcome == RequestOutcome::kFailed &&
+      !attempt.is_cancelled)
+    context_.paths.OnConnectionLost(server, MonotonicNow());
+  else
+    context_.paths.OnUnanswered(server);
+}
+
+asio::awaitable<void> BackendClient::SendToCarrier(Attempt& attempt,
+                                                   const RequestHead& head,
+                                                   const Carrier& carrier) {
+  const BackendServerId key(carrier.host.id().value());
+  attempt.connection = carrier_pool_.Take(key, MonotonicNow());
+  attempt.result.used_open_connection = attempt.connection != nullptr;
+  if (!attempt.connection) {
+    static_cast<void>(co_await Connect(attempt, carrier.host.peer_address,
+                                       carrier.host.peer_port));
+  }
+  if (!attempt.connection || attempt.is_cancelled)
+    co_return;
+  RequestHead to_carrier = HeadToCarrier(
+      head, attempt.request, attempt.request.deadline - MonotonicNow(),
+      context_.headers);
+  AddMark(attempt, carrier, to_carrier);
+  co_await Send(attempt, std::move(to_carrier));
+  // A carrier that closes its connection is no server that has crashed.
+  attempt.result.closed_mid_request = false;
+}
+
+void BackendClient::AddMark(Attempt& attempt,
+                            const Carrier& carrier,
+                            RequestHead& head) {
+  const GatewayRequest& request = attempt.request;
+  const CarriedMark mark{context_.settings.name,      context_.incarnation,
+                         ++context_.carried_sequence, carrier.host.name,
+                         carrier.incarnation,         context_.settings.region,
+                         request.pick.service,        request.attempts};
+  head.set(kCarriedMarkField, EncodeCarriedMark(mark));
+  attempt.code = CarriedCodeOf(head, request.body, context_.fleet_secret);
+  head.set(kCarriedCodeField, attempt.code);
+}
+
+asio::awaitable<void> BackendClient::Send(Attempt& attempt, RequestHead head) {
   const GatewayRequest& request = attempt.request;
   CallResult& result = attempt.result;
-  const TimePoint now = MonotonicNow();
-  if (now >= request.deadline) {
+  if (MonotonicNow() >= request.deadline) {
     result.reason = RefusalReason::kDeadlinePassed;
     result.outcome = RequestOutcome::kCancelled;
     co_return;
   }
-  StreamedMessage<true> message(HeadToBackend(
-      head, request, entry.name, request.deadline - now, context_.headers));
+  StreamedMessage<true> message(std::move(head));
   const ExchangeFailure failure = co_await attempt.connection->Write(
       message, request.body, true, request.deadline);
   attempt.is_sent = message.bytes_written() > 0;
@@ -165,6 +271,9 @@
       OnFailure(attempt, failure);
       co_return;
     }
+    if (!attempt.is_answered && attempt.server != BackendServerId())
+      context_.paths.OnAnswered(attempt.server, MonotonicNow());
+    attempt.is_answered = true;
     const auto& head = attempt.connection->answer().get().base();
     const auto id = head[context_.headers.request_id];
     const bool matches =
@@ -181,8 +290,12 @@
   }
   result.head = attempt.connection->answer().get().base();
   co_await ReadBody(attempt);
-  if (result.head)
+  if (!result.head)
+    co_return;
+  if (attempt.code.empty())
     Classify(attempt);
+  else
+    ClassifyCarried(attempt);
 }
 
 asio::awaitable<bool> BackendClient::SkipBody(Attempt& attempt) {
@@ -224,8 +337,10 @@
   attempt.connection->Close();
   switch (failure) {
     case ExchangeFailure::kTimeout:
+      // Before the deadline, the kernel has given up on the connection.
       result.reason = RefusalReason::kBackendTimeout;
-      result.outcome = RequestOutcome::kTimeout;
+      result.outcome =
+          is_late ? RequestOutcome::kTimeout : RequestOutcome::kFailed;
       break;
     case ExchangeFailure::kMalformed:
     case ExchangeFailure::kTooLarge:
@@ -260,10 +375,16 @@
                                             : RequestOutcome::kShed;
     return;
   }
-  result.run_state = RunState::kRan;
   attempt.connection->SetIdleLimit(AnnouncedIdle(head));
+  ClassifyAnswer(attempt);
+}
+
+void BackendClient::ClassifyAnswer(Attempt& attempt) {
+  CallResult& result = attempt.result;
+  const unsigned status = result.head->result_int();
+  result.run_state = RunState::kRan;
   const bool success = status / 100 == kSuccessClass;
-  if (success && head.count(context_.headers.seal) == 0) {
+  if (success && result.head->count(context_.headers.seal) == 0) {
     // Every successful answer of a backend server carries a seal, so this one
     // came from something else.
     result.head.reset();
@@ -280,6 +401,37 @@
     result.outcome = RequestOutcome::kOk;
 }
 
+void BackendClient::ClassifyCarried(Attempt& attempt) {
+  CallResult& result = attempt.result;
+  const auto text = (*result.head)[kCarriedVerdictField];
+  const auto code = (*result.head)[kCarriedCodeField];
+  const std::string_view verdict_text(text.data(), text.size());
+  const PeerAuthenticator authenticator(context_.fleet_secret);
+  const auto verdict =
+      authenticator.Verify(attempt.code, verdict_text,
+                           std::string_view(code.data(), code.size()))
+          ? ParseCarriedVerdict(verdict_text)
+          : std::nullopt;
+  if (!verdict) {
+    result.head.reset();
+    OnFailure(attempt, ExchangeFailure::kMalformed);
+    return;
+  }
+  result.carrier_attempts = verdict->attempts;
+  result.head->erase(kCarriedVerdictField);
+  result.head->erase(kCarriedCodeField);
+  if (verdict->run_state == RunState::kRan) {
+    ClassifyAnswer(attempt);
+    return;
+  }
+  result.run_state = verdict->run_state;
+  result.reason = verdict->reason;
+  result.retry_after = verdict->retry_after;
+  result.outcome = verdict->run_state == RunState::kNotRun
+                       ? RequestOutcome::kShed
+                       : RequestOutcome::kFailed;
+}
+
 void BackendClient::Recycle(BackendServerId server,
                             std::unique_ptr<BackendConnection> connection,
                             TimePoint now) {
@@ -287,4 +439,14 @@
     pool_.Give(server, std::move(connection), now);
 }
 
+void BackendClient::RecycleCarrier(
+    HostId carrier,
+    std::unique_ptr<BackendConnection> connection,
+    TimePoint now) {
+  if (connection && connection->reusable()) {
+    carrier_pool_.Give(BackendServerId(carrier.value()), std::move(connection),
+                       now);
+  }
+}
+
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/call_result.h
+++ b/src/comfreyvane/gateway/call_result.h
@@ -29,10 +29,13 @@
   RefusalReason reason = RefusalReason::kBackendConnectFailed;
   RunState run_state = RunState::kNotRun;
   RequestOutcome outcome = RequestOutcome::kConnectFailed;
-  bool caller_gone = false;  ///< The caller closed its connection.
+  bool caller_gone = false;           ///< The caller closed its connection.
   bool used_open_connection = false;  ///< No new connection was needed.
   bool closed_mid_request =
       false;  ///< The server closed after it got the request.
+  /// Attempts that a carrier has made, and its advice to the caller.
+  std::uint32_t carrier_attempts = 0;
+  Duration retry_after{};
   std::optional<LoadReport> load;
   /// Limit that the server names; nothing without an answer of this server.
   std::optional<NamedLimit> limit;
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -8,6 +8,7 @@
 #include <boost/json/value_to.hpp>
 #include <chrono>
 #include <limits>
+#include <stdexcept>
 
 namespace comfreyvane {
 namespace {
@@ -75,6 +76,58 @@
   return limits;
 }
 
+std::int64_t Milliseconds(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+json::array Rows(const std::vector<PathGroup>& groups) {
+  json::array rows;
+  for (const PathGroup& one : groups)
+    rows.push_back(json::array{static_cast<int>(one.kind), one.id});
+  return rows;
+}
+
+json::array Rows(const std::vector<PathReport>& reports) {
+  json::array rows;
+  for (const PathReport& one : reports) {
+    rows.push_back(json::array{static_cast<int>(one.group.kind), one.group.id,
+                               Milliseconds(one.age)});
+  }
+  return rows;
+}
+
+/// @throws std::exception if the kind is unknown.
+PathGroup PathGroupOf(const json::array& fields) {
+  const auto kind = NumberOf<unsigned>(fields.at(0));
+  if (kind > static_cast<unsigned>(PathGroup::Kind::kService))
+    throw std::out_of_range("kind of group");
+  return {static_cast<PathGroup::Kind>(kind),
+          NumberOf<std::uint64_t>(fields.at(1))};
+}
+
+std::vector<PathGroup> ReadAskedPaths(const json::object& object) {
+  std::vector<PathGroup> groups;
+  if (const json::value* const rows = object.if_contains("asked")) {
+    for (const json::value& row : rows->as_array())
+      groups.push_back(PathGroupOf(row.as_array()));
+  }
+  return groups;
+}
+
+std::optional<std::vector<PathReport>> ReadPaths(const json::object& object) {
+  const json::value* const rows = object.if_contains("paths");
+  if (rows == nullptr)
+    return std::nullopt;
+  std::vector<PathReport> reports;
+  for (const json::value& row : rows->as_array()) {
+    const json::array& fields = row.as_array();
+    reports.push_back(
+        {PathGroupOf(fields),
+         std::chrono::milliseconds(NumberOf<std::uint32_t>(fields.at(2)))});
+  }
+  return reports;
+}
+
 /// Reads an optional array of pairs of numbers.
 /// @tparam Second type of the second number of each pair.
 /// @param make converts the two numbers of a pair to an element of the result.
@@ -151,6 +204,12 @@
   AddPairs(object, "given", heartbeat.granted_tokens);
   if (!heartbeat.limits.empty())
     object["limits"] = Rows(heartbeat.limits);
+  if (!heartbeat.asked_paths.empty())
+    object["asked"] = Rows(heartbeat.asked_paths);
+  if (heartbeat.paths) {
+    object["paths"] = Rows(*heartbeat.paths);
+    object["delay_ms"] = Milliseconds(heartbeat.loop_delay);
+  }
   return json::serialize(object);
 }
 
@@ -177,6 +236,12 @@
     heartbeat.requested_tokens = ReadPairs<double>(object, "wanted", amount);
     heartbeat.granted_tokens = ReadPairs<double>(object, "given", amount);
     heartbeat.limits = ReadLimits(object);
+    heartbeat.asked_paths = ReadAskedPaths(object);
+    heartbeat.paths = ReadPaths(object);
+    if (heartbeat.paths) {
+      heartbeat.loop_delay = std::chrono::milliseconds(
+          NumberOf<std::uint32_t>(object.at("delay_ms")));
+    }
     return heartbeat;
   });
 }
--- a/src/comfreyvane/gateway/fwd.h
+++ b/src/comfreyvane/gateway/fwd.h
@@ -6,6 +6,8 @@
 namespace comfreyvane {
 
 struct CallResult;
+struct CarriedMark;
+struct CarriedVerdict;
 struct GatewayContext;
 struct GatewayRequest;
 struct GatewaySettings;
@@ -16,6 +18,7 @@
 struct RelayAnswer;
 struct RelayCall;
 class BackendClient;
+class CarriedGuard;
 class DependencyMonitor;
 class GatewayDispatcher;
 class GatewayHandler;
@@ -26,8 +29,11 @@
 class GatewayProcess;
 template <typename Platform>
 class StoreFollower;
+class PathSupervisor;
 class PeerLink;
 class RelayClient;
+template <typename Relay, typename Requests>
+class PeerHandler;
 template <typename Source>
 class RelayHandler;
 
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -4,12 +4,16 @@
 #define COMFREYVANE_GATEWAY_GATEWAY_CONTEXT_H_
 
 #include <boost/beast/http/message.hpp>
+#include <cstdint>
 #include <memory>
+#include <string>
 #include <unordered_map>
 
 #include "comfreyvane/edge/backend_picker.h"
+#include "comfreyvane/edge/carrier_picker.h"
 #include "comfreyvane/edge/fleet_view.h"
 #include "comfreyvane/edge/named_limit.h"
+#include "comfreyvane/edge/path_monitor.h"
 #include "comfreyvane/edge/poison_request_tracker.h"
 #include "comfreyvane/edge/route_table.h"
 #include "comfreyvane/edge/share_splitter.h"
@@ -40,7 +44,15 @@
   BackendPicker backends;
   FleetView fleet;
   WorkspaceLimiter limiter;
+  std::uint64_t incarnation;  ///< Differs between runs of this host.
+  CarrierPicker carriers;
+  PathMonitor paths{};
   PoisonRequestTracker poison{};
+  /// With which hosts authenticate each other; empty until it is read.
+  std::string fleet_secret{};
+  /// Sequence of the last request sent to a carrier.
+  std::uint64_t carried_sequence = 0;
+  Duration loop_delay{};  ///< By which periodic work is late, on average.
   std::unordered_map<std::string, ShareSplitter> splitters{};  ///< By route.
   std::unordered_map<ServiceId, RetryBudget> retry_budgets{};
   std::size_t buffered_body_bytes = 0;
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -16,38 +16,98 @@
     const GatewayRequest& request,
     std::function<void(std::function<void()>)> watch,
     std::function<void()> unwatch) {
-  const TimePoint now = MonotonicNow();
+  const TimePoint began = MonotonicNow();
   const ServiceId service = request.pick.service;
-  DrainQueue(service, now);
+  while (true) {
+    const TimePoint now = MonotonicNow();
+    DrainQueue(service, now);
+    if (const auto grant = GrantNow(request, now))
+      co_return *grant;
+    const TimePoint expiry = WaitDeadline(
+        {request.started, request.route->objective,
+         context_.backends.ExpectedWarm(request.pick), request.deadline});
+    const Duration wait =
+        std::max(queue_.ExpectedWait(service, request.urgency),
+                 LimitWaitOf(request.pick, now));
+    if (wait > expiry - now)
+      co_return QueueRefusal(request, now);
+    const auto waiter = std::make_shared<GatewayWaiter>(io_, request.pick);
+    queue_.Push(service, request.urgency, waiter, expiry);
+    watch([this, waiter, service] {
+      if (waiter->choice || waiter->refusal)
+        return;
+      queue_.Remove(service, waiter);
+      waiter->refusal = Refusal{RefusalReason::kCallerGone, RunState::kNotRun,
+                                Duration::zero()};
+      waiter->wakeup.cancel();
+    });
+    if (!waiter->choice && !waiter->refusal && !waiter->is_reassigned)
+      co_await waiter->wakeup.async_wait(kAwait);
+    unwatch();
+    const TimePoint ended = MonotonicNow();
+    context_.metrics.Record(LatencyName::kQueueWait, ended - began, ended);
+    if (waiter->choice)
+      co_return *waiter->choice;
+    if (waiter->refusal)
+      co_return *waiter->refusal;
+    if (!waiter->is_reassigned)
+      co_return QueueRefusal(request, ended);
+  }
+}
+
+std::optional<GatewayDispatcher::Grant> GatewayDispatcher::GrantNow(
+    const GatewayRequest& request,
+    TimePoint now) {
+  if (const auto carrier = CarrierFor(request, now))
+    return *carrier;
   if (const auto choice = TryStart(request.pick, now))
-    co_return *choice;
-  const TimePoint expiry = WaitDeadline(
-      {request.started, request.route->objective,
-       context_.backends.ExpectedWarm(request.pick), request.deadline});
-  const Duration wait = std::max(queue_.ExpectedWait(service, request.urgency),
-                                 LimitWaitOf(request.pick, now));
-  if (wait > expiry - now)
-    co_return QueueRefusal(request, now);
-  const auto waiter = std::make_shared<GatewayWaiter>(io_, request.pick);
-  queue_.Push(service, request.urgency, waiter, expiry);
-  watch([this, waiter, service] {
-    if (waiter->choice || waiter->refusal)
-      return;
-    queue_.Remove(service, waiter);
-    waiter->refusal = Refusal{RefusalReason::kCallerGone, RunState::kNotRun,
-                              Duration::zero()};
+    return *choice;
+  if (!context_.paths.is_disturbed())
+    return std::nullopt;
+  const auto unreachable = context_.backends.AnyUnreachableFor(request.pick);
+  if (!unreachable)
+    return std::nullopt;
+  if (const auto group = context_.paths.LostGroupOf(*unreachable)) {
+    if (const auto carrier = PickCarrier(request, *group, now))
+      return *carrier;
+  }
+  if (context_.backends.CanReach(request.pick))
+    return std::nullopt;
+  return Refusal{RefusalReason::kNoPath, RunState::kNotRun, NoPathRetryAfter()};
+}
+
+std::optional<Carrier> GatewayDispatcher::CarrierFor(
+    const GatewayRequest& request,
+    TimePoint now) {
+  if (!context_.paths.is_disturbed() || request.carried)
+    return std::nullopt;
+  if (const auto server = context_.backends.UnreachableFor(request.pick, now)) {
+    const auto group = context_.paths.LostGroupOf(*server);
+    return group ? PickCarrier(request, *group, now) : std::nullopt;
+  }
+  const auto choice = context_.backends.Pick(request.pick, now);
+  if (!choice)
+    return std::nullopt;
+  const auto group = context_.paths.HoldBack(choice->server, now);
+  return group ? PickCarrier(request, *group, now) : std::nullopt;
+}
+
+std::optional<Carrier> GatewayDispatcher::PickCarrier(
+    const GatewayRequest& request,
+    const PathGroup& group,
+    TimePoint now) const {
+  if (request.carried || context_.fleet_secret.empty())
+    return std::nullopt;
+  // Bodies may be sent only to the regions where the request may run.
+  return context_.carriers.Pick(group, request.pick.regions,
+                                request.tried_carriers, now);
+}
+
+void GatewayDispatcher::Reassign() {
+  for (const GatewayWaiterPtr& waiter : queue_.Expire(TimePoint::max())) {
+    waiter->is_reassigned = true;
     waiter->wakeup.cancel();
-  });
-  if (!waiter->choice && !waiter->refusal)
-    co_await waiter->wakeup.async_wait(kAwait);
-  unwatch();
-  const TimePoint ended = MonotonicNow();
-  context_.metrics.Record(LatencyName::kQueueWait, ended - now, ended);
-  if (waiter->choice)
-    co_return *waiter->choice;
-  if (waiter->refusal)
-    co_return *waiter->refusal;
-  co_return QueueRefusal(request, ended);
+  }
 }
 
 void GatewayDispatcher::Release(const GatewayRequest& request,
--- a/src/comfreyvane/gateway/gateway_dispatcher.h
+++ b/src/comfreyvane/gateway/gateway_dispatcher.h
@@ -5,9 +5,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <variant>
 
 #include "comfreyvane/edge/admission_queue.h"
+#include "comfreyvane/edge/carrier.h"
 #include "comfreyvane/gateway/gateway_context.h"
 #include "comfreyvane/gateway/gateway_request.h"
 #include "comfreyvane/gateway/gateway_waiter.h"
@@ -20,12 +22,13 @@
 /// urgency. Refuses requests that could not be served in time after waiting.
 class GatewayDispatcher {
  public:
-  using Grant = std::variant<BackendChoice, Refusal>;
+  using Grant = std::variant<BackendChoice, Carrier, Refusal>;
 
   GatewayDispatcher(GatewayContext& context, asio::io_context& io);
 
-  /// Waits for a backend server. A granted server counts as in use until
-  /// Release is called.
+  /// Waits for a backend server, or selects a host that carries the request
+  /// where this host does not reach the servers. A granted server counts as in
+  /// use until Release is called.
   /// @param watch called with a function that cancels the wait, if the request
   ///     has to wait.
   /// @param unwatch called when the wait is over.
@@ -49,9 +52,24 @@
   /// has expired. Must be called periodically.
   void OnTick(TimePoint now);
 
+  /// Makes all waiting requests look for a way again, because this host has
+  /// lost or regained its path to servers.
+  void Reassign();
+
   [[nodiscard]] std::size_t queued() const { return queue_.depth(); }
 
  private:
+  /// @return a grant or a refusal that needs no wait.
+  [[nodiscard]] std::optional<Grant> GrantNow(const GatewayRequest& request,
+                                              TimePoint now);
+  /// @return a host that carries the request instead of the way to a server
+  ///     that is not reached, or whose path was regained a short time ago.
+  [[nodiscard]] std::optional<Carrier> CarrierFor(const GatewayRequest& request,
+                                                  TimePoint now);
+  [[nodiscard]] std::optional<Carrier> PickCarrier(
+      const GatewayRequest& request,
+      const PathGroup& group,
+      TimePoint now) const;
   /// Picks a server and counts the request as running there.
   [[nodiscard]] std::optional<BackendChoice> TryStart(
       const PickRequest& request,
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -6,9 +6,11 @@
 #include <cstdio>
 
 #include "comfreyvane/base/hash.h"
+#include "comfreyvane/gateway/carried_codec.h"
 #include "comfreyvane/gateway/limit_log.h"
 #include "comfreyvane/gateway/message_heads.h"
 #include "comfreyvane/log/log.h"
+#include "comfreyvane/net/peer_authenticator.h"
 
 namespace comfreyvane {
 namespace {
@@ -64,6 +66,11 @@
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
+/// @return the attempts that this host has made of a carried request.
+std::uint32_t AttemptsHere(const GatewayRequest& request) {
+  return request.carried ? request.attempts - request.carried->attempts : 0;
+}
+
 std::string_view View(boost::beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -85,6 +92,37 @@
   return request;
 }
 
+void GatewayHandler::SetMark(const http::request_header<>& head,
+                             GatewayRequest& request) {
+  const auto mark = ParseCarriedMark(View(head[kCarriedMarkField]));
+  request.carried = mark.value_or(CarriedMark{});
+  request.attempts = request.carried->attempts;
+  request.pick.origin_region = RegionId::Of(request.carried->region);
+}
+
+CarriedAdmission GatewayHandler::CheckMark(const http::request_header<>& head,
+                                           GatewayRequest& request) {
+  const CarriedMark& mark = *request.carried;
+  const bool is_authentic =
+      HasCarriedCode(head, request.body, context_.fleet_secret);
+  const CarriedAdmission admission =
+      is_authentic ? carried_guard_.Accept(
+                         mark, peers_.IncarnationOf(HostId::Of(mark.origin)))
+                   : CarriedAdmission::kRepeated;
+  if (admission != CarriedAdmission::kAccepted) {
+    Log(LogLevel::kWarning, "carried-request-refused",
+        {{"id", request.id},
+         {"origin", mark.origin},
+         {"sequence", mark.sequence},
+         {"authentic", is_authentic},
+         {"other_run", admission == CarriedAdmission::kOtherRun}});
+  }
+  // The verdict on a repeated request must not be taken for that on the first.
+  if (admission != CarriedAdmission::kRepeated)
+    request.carried_code = View(head[kCarriedCodeField]);
+  return admission;
+}
+
 std::optional<Refusal> GatewayHandler::ResolveRoute(
     const http::request_header<>& head,
     GatewayRequest& request) {
@@ -119,7 +157,13 @@
                                     GatewayRequest& request) {
   const EdgeRoute& route = *request.route;
   PickRequest& pick = request.pick;
-  pick.service = context_.splitters[route.name].Next(route.services);
+  const auto is_carried_service = [&](const ServiceShare& share) {
+    return request.carried && share.service == request.carried->service;
+  };
+  if (std::ranges::any_of(route.services, is_carried_service))
+    pick.service = request.carried->service;
+  else
+    pick.service = context_.splitters[route.name].Next(route.services);
   const std::uint64_t route_hash = HashBytes(route.name);
   pick.kind = HashPair(route_hash, pick.service.value());
   const std::string_view object = CookieOf(head, context_.headers.affinity);
@@ -146,7 +190,9 @@
   const auto [budget, added] = context_.retry_budgets.try_emplace(
       pick.service, context_.settings.retry_ratio * kRetryBudgetFraction,
       slack);
-  budget->second.OnSuccess();
+  // The host of the caller has been credited with a carried request.
+  if (!request.carried)
+    budget->second.OnSuccess();
 }
 
 void GatewayHandler::SetFingerprint(const http::request_header<>& head,
@@ -223,7 +269,9 @@
   const Duration silence = now - context_.last_answer_at;
   if (result.head)
     context_.last_answer_at = now;
-  if (result.closed_mid_request)
+  const bool is_reached =
+      context_.backends.ReachOf(choice.server) != ServerReach::kNone;
+  if (result.closed_mid_request && is_reached)
     context_.poison.OnServerCrash(request.fingerprint, now);
   else if (result.run_state == RunState::kRan)
     context_.poison.OnAnswered(request.fingerprint);
@@ -238,6 +286,8 @@
   Log(LogLevel::kInfo, "attempt-ended",
       {{"id", request.id},
        {"server", NameOf(choice.server)},
+       {"origin", request.carried ? std::string_view(request.carried->origin)
+                                  : std::string_view("caller")},
        {"route", request.route->name.c_str()},
        {"object", Field::Hex{request.pick.object}},
        {"warm", choice.warm},
@@ -257,6 +307,51 @@
        {"expected_ms", choice.expected}});
 }
 
+void GatewayHandler::RecordCarried(const GatewayRequest& request,
+                                   const Carrier& carrier,
+                                   const CallResult& result,
+                                   Duration latency,
+                                   TimePoint now) {
+  context_.metrics.Count(CounterName::kCarriedByPeers);
+  if (!context_.attempt_lines.TryTake(now))
+    return;
+  Log(LogLevel::kInfo, "request-carried",
+      {{"id", request.id},
+       {"carrier", carrier.host.name},
+       {"carrier_domain", carrier.host.failure_domain},
+       {"report_age_ms", carrier.report_age},
+       {"route", request.route->name},
+       {"object", Field::Hex{request.pick.object}},
+       {"run", result.run_state},
+       {"open_connection", result.used_open_connection},
+       {"status", result.head ? result.head->result_int() : 0U},
+       {"reason", result.run_state == RunState::kRan
+                      ? std::string_view("answered")
+                      : Name(result.reason)},
+       {"attempts", result.carrier_attempts},
+       {"waited_ms", now - request.started - latency},
+       {"took_ms", latency}});
+}
+
+void GatewayHandler::Recycle(AttemptEnd& end, TimePoint now) {
+  if (end.server)
+    backend_client_.Recycle(*end.server, std::move(end.result.connection), now);
+  else
+    backend_client_.RecycleCarrier(*end.carrier,
+                                   std::move(end.result.connection), now);
+}
+
+void GatewayHandler::AddVerdict(const GatewayRequest& request,
+                                const CarriedVerdict& verdict,
+                                http::response_header<>& head) const {
+  if (request.carried_code.empty())
+    return;
+  const PeerAuthenticator authenticator(context_.fleet_secret);
+  const std::string text = EncodeCarriedVerdict(verdict);
+  head.set(kCarriedVerdictField, text);
+  head.set(kCarriedCodeField, authenticator.Sign(request.carried_code, text));
+}
+
 std::string_view GatewayHandler::NameOf(
     const std::optional<BackendServerId>& server) const {
   if (!server)
@@ -341,20 +436,29 @@
                               : kDefaultRetryAfter;
     answer.set(http::field::retry_after, SecondsText(wait));
   }
+  AddVerdict(request,
+             {refusal.run_state, refusal.reason, AttemptsHere(request),
+              refusal.retry_after},
+             answer);
   answer.body() = Name(refusal.reason);
   answer.prepare_payload();
   answer.keep_alive(keep_alive);
   return answer;
 }
 
-GatewayHandler::Answer GatewayHandler::AnswerOf(const CallResult& result,
+GatewayHandler::Answer GatewayHandler::AnswerOf(const GatewayRequest& request,
+                                                const CallResult& result,
                                                 unsigned version,
-                                                bool keep_alive) {
+                                                bool keep_alive) const {
   Answer answer;
   answer.version(version);
   answer.result(result.head->result_int());
   answer.reason(result.head->reason());
   CopyAnswerFields(*result.head, answer);
+  AddVerdict(request,
+             {RunState::kRan, RefusalReason::kInternal, AttemptsHere(request),
+              Duration::zero()},
+             answer);
   answer.body() = result.body;
   answer.prepare_payload();
   answer.keep_alive(keep_alive);
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -13,6 +13,8 @@
 
 #include "comfreyvane/base/refusal.h"
 #include "comfreyvane/gateway/backend_client.h"
+#include "comfreyvane/gateway/carried_guard.h"
+#include "comfreyvane/gateway/carried_verdict.h"
 #include "comfreyvane/gateway/gateway_context.h"
 #include "comfreyvane/gateway/gateway_dispatcher.h"
 #include "comfreyvane/gateway/gateway_request.h"
@@ -36,13 +38,20 @@
         io_(io),
         dispatcher_(dispatcher),
         backend_client_(backend_client),
-        peers_(peers) {}
+        peers_(peers),
+        carried_guard_(context.settings.name, context.incarnation) {}
 
   /// Serves a request whose head has been read.
   /// @return whether the connection can be kept alive.
   template <typename Exchange>
   [[nodiscard]] asio::awaitable<bool> Handle(Exchange& exchange);
 
+  /// Serves a request that another host has sent since it does not reach the
+  /// backend servers. The limit of its workspace has been checked there.
+  /// @return whether the connection can be kept alive.
+  template <typename Exchange>
+  [[nodiscard]] asio::awaitable<bool> HandleCarried(Exchange& exchange);
+
   /// Refuses a request whose head could not be read or is not acceptable.
   template <typename Exchange>
   [[nodiscard]] asio::awaitable<void> Refuse(Exchange& exchange,
@@ -52,23 +61,45 @@
   /// Bytes of a body that are read at a time.
   static constexpr std::size_t kChunkBytes = 16 * 1024;
 
+  /// An attempt that has ended, at a server or through a carrier.
+  struct AttemptEnd {
+    CallResult result;
+    std::optional<BackendServerId> server{};
+    std::optional<HostId> carrier{};
+  };
+
+  /// Serves a request and writes the answer or the refusal.
+  template <typename Exchange>
+  asio::awaitable<bool> Respond(Exchange& exchange, GatewayRequest& request);
   template <typename Exchange>
   asio::awaitable<std::optional<Refusal>> Serve(Exchange& exchange,
                                                 GatewayRequest& request);
+  /// Decides whether a carried request may run. If its mark is authentic, the
+  /// answer gets a verdict.
+  template <typename Exchange>
+  [[nodiscard]] std::optional<Refusal> AdmitCarried(Exchange& exchange,
+                                                    GatewayRequest& request);
   template <typename Exchange>
   asio::awaitable<std::optional<Refusal>> ReadBody(Exchange& exchange,
                                                    GatewayRequest& request);
   template <typename Exchange>
   asio::awaitable<std::optional<Refusal>> RunAttempts(Exchange& exchange,
                                                       GatewayRequest& request);
+  template <typename Exchange>
+  asio::awaitable<AttemptEnd> RunAtServer(Exchange& exchange,
+                                          GatewayRequest& request,
+                                          const BackendChoice& choice);
+  template <typename Exchange>
+  asio::awaitable<AttemptEnd> RunThroughCarrier(Exchange& exchange,
+                                                GatewayRequest& request,
+                                                const Carrier& carrier);
   /// Forwards an answer to the caller, unless its status would wrongly promise
   /// that the request has not run.
   template <typename Exchange>
   asio::awaitable<std::optional<Refusal>> ForwardAnswer(
       Exchange& exchange,
       const GatewayRequest& request,
-      BackendServerId server,
-      CallResult result);
+      AttemptEnd end);
   /// Forwards an answer whose body has not been read completely.
   template <typename Exchange>
   asio::awaitable<void> StreamAnswer(Exchange& exchange,
@@ -79,6 +110,15 @@
   [[nodiscard]] GatewayRequest Start(
       const boost::beast::http::request_header<>& head,
       TimePoint now);
+  /// Sets what the mark of a carried request says. Without a valid mark, the
+  /// request is not accepted later.
+  static void SetMark(const boost::beast::http::request_header<>& head,
+                      GatewayRequest& request);
+  /// Checks the mark of a carried request, whose body has been read, and logs
+  /// why it is not accepted.
+  [[nodiscard]] CarriedAdmission CheckMark(
+      const boost::beast::http::request_header<>& head,
+      GatewayRequest& request);
   /// Sets configuration, route, workspace, deadline and urgency of a request.
   /// @return a refusal if the route is unknown or the key is not accepted.
   [[nodiscard]] std::optional<Refusal> ResolveRoute(
@@ -104,6 +144,18 @@
                                    const CallResult& result,
                                    std::uint32_t connect_failures,
                                    TimePoint now);
+  /// Logs an attempt through another host.
+  void RecordCarried(const GatewayRequest& request,
+                     const Carrier& carrier,
+                     const CallResult& result,
+                     Duration latency,
+                     TimePoint now);
+  /// Returns the connection of an attempt to its pool.
+  void Recycle(AttemptEnd& end, TimePoint now);
+  /// Adds the verdict on a carried request to the answer.
+  void AddVerdict(const GatewayRequest& request,
+                  const CarriedVerdict& verdict,
+                  boost::beast::http::response_header<>& head) const;
   void RecordAttempt(const GatewayRequest& request,
                      const BackendChoice& choice,
                      const CallResult& result,
@@ -128,20 +180,35 @@
                                      const Refusal& refusal,
                                      unsigned version,
                                      bool keep_alive) const;
-  [[nodiscard]] static Answer AnswerOf(const CallResult& result,
-                                       unsigned version,
-                                       bool keep_alive);
+  [[nodiscard]] Answer AnswerOf(const GatewayRequest& request,
+                                const CallResult& result,
+                                unsigned version,
+                                bool keep_alive) const;
 
   GatewayContext& context_;
   asio::io_context& io_;
   GatewayDispatcher& dispatcher_;
   BackendClient& backend_client_;
   PeerLink& peers_;
+  CarriedGuard carried_guard_;
 };
 
 template <typename Exchange>
 asio::awaitable<bool> GatewayHandler::Handle(Exchange& exchange) {
   GatewayRequest request = Start(exchange.head(), MonotonicNow());
+  co_return co_await Respond(exchange, request);
+}
+
+template <typename Exchange>
+asio::awaitable<bool> GatewayHandler::HandleCarried(Exchange& exchange) {
+  GatewayRequest request = Start(exchange.head(), MonotonicNow());
+  SetMark(exchange.head(), request);
+  co_return co_await Respond(exchange, request);
+}
+
+template <typename Exchange>
+asio::awaitable<bool> GatewayHandler::Respond(Exchange& exchange,
+                                              GatewayRequest& request) {
   ++context_.running_requests;
   const auto refusal = co_await Serve(exchange, request);
   context_.buffered_body_bytes -= request.body.size();
@@ -182,6 +249,10 @@
   const auto refused = ResolveRoute(exchange.head(), request);
   if (auto refusal = co_await ReadBody(exchange, request))
     co_return refusal;
+  if (request.carried) {
+    if (auto refusal = AdmitCarried(exchange, request))
+      co_return refusal;
+  }
   if (refused)
     co_return refused;
   SetFingerprint(exchange.head(), request);
@@ -190,14 +261,14 @@
     co_return Refusal{RefusalReason::kCrashContained, RunState::kNotRun,
                       Duration::zero()};
   }
-  if (!co_await AcquireToken(request)) {
+  if (!request.carried && !co_await AcquireToken(request)) {
     co_return Refusal{RefusalReason::kRateExceeded, RunState::kNotRun,
                       context_.limiter.TimeUntilToken(request.workspace_id(),
                                                       MonotonicNow())};
   }
   SetPickRequest(exchange.head(), request);
   auto refusal = co_await RunAttempts(exchange, request);
-  if (refusal && refusal->run_state == RunState::kNotRun)
+  if (refusal && refusal->run_state == RunState::kNotRun && !request.carried)
     context_.limiter.Return(request.workspace_id(), MonotonicNow());
   co_return refusal;
 }
@@ -236,6 +307,29 @@
   co_return std::nullopt;
 }
 
+template <typename Exchange>
+std::optional<Refusal> GatewayHandler::AdmitCarried(Exchange& exchange,
+                                                    GatewayRequest& request) {
+  const auto refused = [](RefusalReason reason) {
+    return Refusal{reason, RunState::kNotRun, Duration::zero()};
+  };
+  // A host that was frozen may read a request that has been given up.
+  if (exchange.IsClosedByCaller())
+    return refused(RefusalReason::kCallerGone);
+  switch (CheckMark(exchange.head(), request)) {
+    case CarriedAdmission::kAccepted:
+      break;
+    case CarriedAdmission::kOtherRun:
+      return refused(RefusalReason::kNoPath);
+    case CarriedAdmission::kRepeated:
+      return refused(RefusalReason::kWrongHost);
+  }
+  if (context_.leaving)
+    return refused(RefusalReason::kHostLeaving);
+  context_.metrics.Count(CounterName::kCarriedForPeers);
+  return std::nullopt;
+}
+
 template <typename Exchange>
 asio::awaitable<std::optional<Refusal>> GatewayHandler::RunAttempts(
     Exchange& exchange,
@@ -251,20 +345,21 @@
     if (const auto* refusal = std::get_if<Refusal>(&grant)) {
       co_return Refusal{refusal->reason, run_state, refusal->retry_after};
     }
-    const auto choice = std::get<BackendChoice>(grant);
-    const TimePoint begun = MonotonicNow();
-    CallResult result = co_await backend_client_.Call(
-        request, exchange.head(), choice.server, watch, unwatch);
+    AttemptEnd end;
+    if (const auto* choice = std::get_if<BackendChoice>(&grant)) {
+      end = co_await RunAtServer(exchange, request, *choice);
+    } else {
+      const auto& carrier = std::get<Carrier>(grant);
+      end = co_await RunThroughCarrier(exchange, request, carrier);
+    }
+    CallResult& result = end.result;
     const TimePoint ended = MonotonicNow();
-    RecordAttempt(request, choice, result, ended - begun, ended);
-    dispatcher_.Release(request, choice, result.outcome, ended - begun,
-                        result.body.size(), ended);
     if (result.caller_gone)
       co_return Refusal{RefusalReason::kCallerGone, result.run_state, {}};
     if (result.outcome == RequestOutcome::kConnectFailed)
       ++connect_failures;
     else
-      ++request.attempts;
+      request.attempts += std::max(1U, result.carrier_attempts);
     if (result.run_state != RunState::kNotRun)
       run_state = RunState::kUnknown;
     const bool answered = result.head && result.run_state == RunState::kRan;
@@ -273,45 +368,101 @@
                       result.outcome == RequestOutcome::kFailed);
     if (wants_retry &&
         TryBeginRetry(request, result, connect_failures, ended)) {
-      request.pick.excluded.push_back(choice.server);
+      if (end.server)
+        request.pick.excluded.push_back(*end.server);
+      else
+        request.tried_carriers.push_back(*end.carrier);
       if (result.complete)
-        backend_client_.Recycle(choice.server, std::move(result.connection),
-                                ended);
+        Recycle(end, ended);
       continue;
     }
-    if (answered) {
-      co_return co_await ForwardAnswer(exchange, request, choice.server,
-                                       std::move(result));
-    }
-    co_return Refusal{result.reason, run_state, Duration::zero()};
+    if (answered)
+      co_return co_await ForwardAnswer(exchange, request, std::move(end));
+    if (result.complete)
+      Recycle(end, ended);
+    co_return Refusal{result.reason, run_state, result.retry_after};
   }
 }
 
+template <typename Exchange>
+asio::awaitable<GatewayHandler::AttemptEnd> GatewayHandler::RunAtServer(
+    Exchange& exchange,
+    GatewayRequest& request,
+    const BackendChoice& choice) {
+  const auto watch = [&exchange](std::function<void()> on_closed) {
+    exchange.WatchForClose(std::move(on_closed));
+  };
+  const auto unwatch = [&exchange] { exchange.StopWatching(); };
+  const TimePoint begun = MonotonicNow();
+  AttemptEnd end;
+  end.server = choice.server;
+  end.result = co_await backend_client_.Call(request, exchange.head(),
+                                             choice.server, watch, unwatch);
+  const TimePoint ended = MonotonicNow();
+  RecordAttempt(request, choice, end.result, ended - begun, ended);
+  dispatcher_.Release(request, choice, end.result.outcome, ended - begun,
+                      end.result.body.size(), ended);
+  co_return std::move(end);
+}
+
+template <typename Exchange>
+asio::awaitable<GatewayHandler::AttemptEnd> GatewayHandler::RunThroughCarrier(
+    Exchange& exchange,
+    GatewayRequest& request,
+    const Carrier& carrier) {
+  const auto watch = [&exchange](std::function<void()> on_closed) {
+    exchange.WatchForClose(std::move(on_closed));
+  };
+  const auto unwatch = [&exchange] { exchange.StopWatching(); };
+  const TimePoint begun = MonotonicNow();
+  const HostId host = carrier.host.id();
+  context_.carriers.OnStarted(host);
+  AttemptEnd end;
+  end.carrier = host;
+  end.result = co_await backend_client_.CallCarrier(request, exchange.head(),
+                                                    carrier, watch, unwatch);
+  CallResult& result = end.result;
+  const TimePoint ended = MonotonicNow();
+  const bool has_tried_nothing = result.run_state == RunState::kNotRun &&
+                                 result.carrier_attempts == 0 &&
+                                 result.outcome == RequestOutcome::kShed;
+  const bool may_go_elsewhere = result.reason == RefusalReason::kNoPath ||
+                                result.reason == RefusalReason::kHostLeaving;
+  // No server has had it, so that it costs no retry.
+  if (has_tried_nothing && may_go_elsewhere)
+    result.outcome = RequestOutcome::kConnectFailed;
+  const bool is_served = result.head.has_value() || result.caller_gone;
+  context_.carriers.OnFinished(
+      host, is_served && result.outcome != RequestOutcome::kConnectFailed,
+      ended);
+  RecordCarried(request, carrier, result, ended - begun, ended);
+  co_return std::move(end);
+}
+
 template <typename Exchange>
 asio::awaitable<std::optional<Refusal>> GatewayHandler::ForwardAnswer(
     Exchange& exchange,
     const GatewayRequest& request,
-    BackendServerId server,
-    CallResult result) {
+    AttemptEnd end) {
+  CallResult& result = end.result;
   const unsigned status = result.head->result_int();
   constexpr unsigned kNotRunStatuses[] = {408, 421, 429, 503};
   if (std::ranges::find(kNotRunStatuses, status) != std::end(kNotRunStatuses)) {
     // Callers take these statuses to mean that the request has not run.
     if (result.complete)
-      backend_client_.Recycle(server, std::move(result.connection),
-                              MonotonicNow());
+      Recycle(end, MonotonicNow());
     co_return Refusal{RefusalReason::kBackendMalformed, RunState::kUnknown, {}};
   }
   if (!result.complete) {
     co_await StreamAnswer(exchange, request, result);
     co_return std::nullopt;
   }
-  Answer answer =
-      AnswerOf(result, exchange.head().version(), exchange.keep_alive());
+  Answer answer = AnswerOf(request, result, exchange.head().version(),
+                           exchange.keep_alive());
   if (request.is_head && result.head->count("Content-Length") > 0)
     answer.set(boost::beast::http::field::content_length,
                result.head->at("Content-Length"));
-  backend_client_.Recycle(server, std::move(result.connection), MonotonicNow());
+  Recycle(end, MonotonicNow());
   const ExchangeFailure failure = co_await exchange.WriteAnswer(answer);
   RecordAnswer(request, status, MonotonicNow());
   if (failure != ExchangeFailure::kNone)
@@ -324,8 +475,8 @@
     Exchange& exchange,
     const GatewayRequest& request,
     CallResult& result) {
-  Answer full_answer =
-      AnswerOf(result, exchange.head().version(), exchange.keep_alive());
+  Answer full_answer = AnswerOf(request, result, exchange.head().version(),
+                                exchange.keep_alive());
   const auto length = result.connection->answer().content_length();
   if (length)
     full_answer.content_length(*length);
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -3,6 +3,7 @@
 #ifndef COMFREYVANE_GATEWAY_GATEWAY_PROCESS_H_
 #define COMFREYVANE_GATEWAY_GATEWAY_PROCESS_H_
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -23,6 +24,8 @@
 #include "comfreyvane/gateway/gateway_state.h"
 #include "comfreyvane/gateway/load_gateway_settings.h"
 #include "comfreyvane/gateway/look_up_handler.h"
+#include "comfreyvane/gateway/path_supervisor.h"
+#include "comfreyvane/gateway/peer_handler.h"
 #include "comfreyvane/gateway/peer_link.h"
 #include "comfreyvane/gateway/relay_handler.h"
 #include "comfreyvane/gateway/store_follower.h"
@@ -62,9 +65,12 @@
                                DomainsOf(settings),
                                settings.max_shift),
                  FleetView(SelfOf(settings)),
-                 WorkspaceLimiter(settings.limits)},
+                 WorkspaceLimiter(settings.limits),
+                 incarnation,
+                 CarrierPicker(SelfOf(settings))},
         dispatcher_(context_, io_),
         backend_client_(context_, io_, sweeper_),
+        path_supervisor_(context_, io_, sweeper_, dispatcher_, backend_client_),
         state_(context_, dispatcher_, backend_client_),
         peers_(state_, io_, incarnation),
         handler_(context_, io_, dispatcher_, backend_client_, peers_),
@@ -93,13 +99,14 @@
         store_(io_, sweeper_, EndpointOf(settings.platform)),
         store_follower_(state_, io_, sweeper_, store_, incarnation),
         relay_handler_(state_, store_follower_),
-        relay_listener_(io_,
-                        EndpointOf(settings.peers),
-                        PortSharing::kExclusive,
-                        nullptr,
-                        sweeper_,
-                        HttpLimits{},
-                        relay_handler_) {
+        peer_handler_(relay_handler_, handler_),
+        peer_listener_(io_,
+                       EndpointOf(settings.peers),
+                       PortSharing::kExclusive,
+                       nullptr,
+                       sweeper_,
+                       HttpLimits{},
+                       peer_handler_) {
     if (settings.metrics.port != 0) {
       metrics_listener_.emplace(io_, EndpointOf(settings.metrics),
                                 PortSharing::kExclusive, nullptr, sweeper_,
@@ -123,7 +130,7 @@
     if (metrics_listener_)
       metrics_listener_->Start();
     peers_.Start();
-    relay_listener_.Start();
+    peer_listener_.Start();
     store_follower_.Start();
     settings_file_time_ = SettingsFileTime();
     WaitForSignal();
@@ -142,6 +149,11 @@
   /// accepted. Covers the TTL of look-up answers and the time of another
   /// look-up, after which callers use other hosts.
   static constexpr Duration kLameDuckPeriod = std::chrono::milliseconds(2500);
+  /// Size of what a host adds to the head of a request that it sends to
+  /// another.
+  static constexpr std::size_t kMarkBytes = 2048;
+  /// Gain of the moving average of the delay of periodic work.
+  static constexpr double kDelayGain = 0.2;
   /// Time within the grace period that is reserved for the exit of the process.
   static constexpr Duration kShutdownMargin = std::chrono::milliseconds(300);
 
@@ -178,6 +190,11 @@
     limits.header_timeout = table.limits().header_timeout;
     limits.idle_timeout = table.limits().idle_timeout;
     caller_listener_.SetLimits(limits);
+    // Other hosts send requests on, with their marks.
+    limits.header_bytes += kMarkBytes;
+    limits.header_timeout = HttpLimits{}.header_timeout;
+    limits.idle_timeout = HttpLimits{}.idle_timeout;
+    peer_listener_.SetLimits(limits);
   }
 
   void WaitForSignal() {
@@ -194,6 +211,8 @@
 
   void Tick() {
     const TimePoint now = MonotonicNow();
+    RecordDelay(now);
+    path_supervisor_.OnTick(now);
     dispatcher_.OnTick(now);
     store_follower_.OnTick(now);
     peers_.OnTick(now);
@@ -221,6 +240,15 @@
     });
   }
 
+  void RecordDelay(TimePoint now) {
+    if (last_tick_ != TimePoint{}) {
+      const Duration delay = now - last_tick_ - kTickInterval;
+      context_.loop_delay += Scaled(
+          std::max(Duration::zero(), delay) - context_.loop_delay, kDelayGain);
+    }
+    last_tick_ = now;
+  }
+
   void SetGauges(TimePoint now) {
     MetricsRegistry& metrics = context_.metrics;
     metrics.SetGauge(GaugeName::kOpenCallerConnections,
@@ -280,6 +308,7 @@
     context_.leaving = true;
     stop_began_ = now;
     caller_listener_.BeginLeaving();
+    peer_listener_.BeginLeaving();
     peers_.SendAll(now);
     Log(LogLevel::kInfo, "stop-begun",
         {{"running", context_.running_requests},
@@ -317,6 +346,7 @@
   GatewayContext context_;
   GatewayDispatcher dispatcher_;
   BackendClient backend_client_;
+  PathSupervisor path_supervisor_;
   GatewayState state_;
   PeerLink peers_;
   GatewayHandler handler_;
@@ -327,8 +357,11 @@
   std::optional<CallerListener<LookUpHandler<Platform>>> metrics_listener_;
   typename Platform::Store store_;
   StoreFollower<Platform> store_follower_;
-  RelayHandler<StoreFollower<Platform>> relay_handler_;
-  CallerListener<RelayHandler<StoreFollower<Platform>>> relay_listener_;
+  using Relay = RelayHandler<StoreFollower<Platform>>;
+  Relay relay_handler_;
+  PeerHandler<Relay, GatewayHandler> peer_handler_;
+  CallerListener<PeerHandler<Relay, GatewayHandler>> peer_listener_;
+  TimePoint last_tick_{};
   TimePoint next_slow_tick_{};
   TimePoint next_settings_check_{};
   TimePoint stop_began_{};
--- a/src/comfreyvane/gateway/gateway_request.h
+++ b/src/comfreyvane/gateway/gateway_request.h
@@ -5,12 +5,15 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/admission_queue.h"
 #include "comfreyvane/edge/pick_request.h"
 #include "comfreyvane/edge/route_table.h"
+#include "comfreyvane/gateway/carried_mark.h"
 
 namespace comfreyvane {
 
@@ -33,6 +36,10 @@
   std::uint64_t fingerprint = 0;  ///< Of workspace, path and body.
   std::string body;
   std::uint32_t attempts = 0;  ///< Except failed connects.
+  /// If this host carries the request for another.
+  std::optional<CarriedMark> carried{};
+  std::string carried_code{};  ///< Authentication code of a carried request.
+  std::vector<HostId> tried_carriers{};
 
   [[nodiscard]] WorkspaceId workspace_id() const {
     return workspace == nullptr ? WorkspaceId()
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -65,7 +65,17 @@
       known != nullptr && known->entry().started_ms != entry.started_ms;
   if (has_restarted)
     LogLimitEnd(entry.id(), "server-restarted");
+  const bool was_leaving = known != nullptr && known->is_leaving();
+  const bool is_other =
+      moved || was_leaving || entry.draining ||
+      (known != nullptr &&
+       (known->entry().service != entry.service ||
+        known->entry().failure_domain != entry.failure_domain));
   context_.backends.Upsert(entry, now);
+  if (is_other)
+    context_.paths.OnGone(entry.id());
+  if (!entry.draining)
+    context_.paths.OnListed(entry.id(), entry.service, entry.failure_domain);
   if (moved || entry.draining)
     backend_client_.CloseIdle(entry.id());
   if (same)
@@ -85,6 +95,7 @@
   const BackendServerId id = BackendServerId::Of(name);
   LogLimitEnd(id, "server-gone");
   context_.backends.Remove(id, now);
+  context_.paths.OnGone(id);
   backend_client_.CloseIdle(id);
   Log(LogLevel::kInfo, "server-gone", {{"server", name}});
 }
@@ -126,9 +137,9 @@
 }
 
 void GatewayState::SetFleetSecret(const std::string& secret) {
-  if (secret == secret_)
+  if (secret == context_.fleet_secret)
     return;
-  secret_ = secret;
+  context_.fleet_secret = secret;
   Log(LogLevel::kInfo, "fleet-secret-read");
 }
 
--- a/src/comfreyvane/gateway/gateway_state.h
+++ b/src/comfreyvane/gateway/gateway_state.h
@@ -45,7 +45,9 @@
 
   /// Sets the secret with which hosts authenticate each other.
   void SetFleetSecret(const std::string& secret);
-  [[nodiscard]] const std::string& fleet_secret() const { return secret_; }
+  [[nodiscard]] const std::string& fleet_secret() const {
+    return context_.fleet_secret;
+  }
   /// @return a random secret in hexadecimal digits.
   /// @throws std::bad_alloc if the random generator fails.
   [[nodiscard]] std::string GenerateSecret() const;
@@ -72,7 +74,6 @@
   GatewayDispatcher& dispatcher_;
   BackendClient& backend_client_;
   std::unordered_set<FailureDomainId> evacuated_;
-  std::string secret_;
   std::function<void(const RouteTable&)> configuration_listener_;
 };
 
--- a/src/comfreyvane/gateway/gateway_waiter.h
+++ b/src/comfreyvane/gateway/gateway_waiter.h
@@ -26,6 +26,7 @@
   boost::asio::steady_timer wakeup;
   std::optional<BackendChoice> choice;
   std::optional<Refusal> refusal;
+  bool is_reassigned = false;  ///< The request has to look for another way.
 };
 
 using GatewayWaiterPtr = std::shared_ptr<GatewayWaiter>;
--- a/src/comfreyvane/gateway/heartbeat.h
+++ b/src/comfreyvane/gateway/heartbeat.h
@@ -12,6 +12,8 @@
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/edge/backend_use.h"
 #include "comfreyvane/edge/limit_report.h"
+#include "comfreyvane/edge/path_group.h"
+#include "comfreyvane/edge/path_report.h"
 #include "comfreyvane/edge/workspace_limiter.h"
 
 namespace comfreyvane {
@@ -39,6 +41,12 @@
   std::vector<WorkspaceTokens> requested_tokens;
   /// Tokens that the sender transfers to the receiver.
   std::vector<WorkspaceTokens> granted_tokens;
+  /// Groups of servers that the sender may have lost its path to. The receiver
+  /// answers at once with what it reaches.
+  std::vector<PathGroup> asked_paths;
+  /// Answer to asked_paths; nothing if the heartbeat is none.
+  std::optional<std::vector<PathReport>> paths;
+  Duration loop_delay{};  ///< With `paths`: how late the sender runs.
   /// Request limits of backend servers.
   std::vector<LimitReport> limits;
 
--- a/src/comfreyvane/gateway/message_heads.cc
+++ b/src/comfreyvane/gateway/message_heads.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 
 #include "comfreyvane/base/number_of.h"
+#include "comfreyvane/gateway/carried_codec.h"
 #include "comfreyvane/net/request_checks.h"
 
 namespace comfreyvane {
@@ -27,6 +28,28 @@
          field.name() == http::field::transfer_encoding;
 }
 
+/// @return whether only hosts send the field, to each other.
+bool IsOfHosts(std::string_view name) {
+  return Equals(name, kCarriedMarkField) ||
+         Equals(name, kCarriedVerdictField) || Equals(name, kCarriedCodeField);
+}
+
+void SetLength(const http::request_header<>& head,
+               const GatewayRequest& request,
+               http::request_header<>& result) {
+  const bool had_body = head.count(http::field::content_length) > 0 ||
+                        head.count(http::field::transfer_encoding) > 0;
+  if (had_body || !request.body.empty())
+    result.set(http::field::content_length,
+               std::to_string(request.body.size()));
+}
+
+std::string MillisecondsText(Duration span) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(span);
+  return std::to_string(std::max<std::int64_t>(1, milliseconds.count()));
+}
+
 /// Removes the text up to and including a separator.
 /// @return the removed text without the separator.
 std::string_view SplitOff(std::string_view& text, char separator) {
@@ -58,11 +81,11 @@
   for (const auto& field : head) {
     const std::string_view name(field.name_string().data(),
                                 field.name_string().size());
-    const bool is_replaced = Equals(name, names.deadline_ms) ||
-                             Equals(name, names.workspace) ||
-                             Equals(name, names.expected_server) ||
-                             field.name() == http::field::authorization ||
-                             field.name() == http::field::expect;
+    const bool is_replaced =
+        Equals(name, names.deadline_ms) || Equals(name, names.workspace) ||
+        Equals(name, names.expected_server) ||
+        field.name() == http::field::authorization ||
+        field.name() == http::field::expect || IsOfHosts(name);
     const std::string_view value(field.value().data(), field.value().size());
     const bool holds_key = !request.key.empty() &&
                            value.find(request.key) != std::string_view::npos;
@@ -70,18 +93,33 @@
         !IsHopByHop(head, field))
       result.insert(field.name(), field.name_string(), field.value());
   }
-  const bool had_body = head.count(http::field::content_length) > 0 ||
-                        head.count(http::field::transfer_encoding) > 0;
-  if (had_body || !request.body.empty())
-    result.set(http::field::content_length,
-               std::to_string(request.body.size()));
+  SetLength(head, request, result);
   if (request.workspace != nullptr)
     result.set(names.workspace, request.workspace->name);
   result.set(names.expected_server, server);
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(remaining);
-  result.set(names.deadline_ms,
-             std::to_string(std::max<std::int64_t>(1, milliseconds.count())));
+  result.set(names.deadline_ms, MillisecondsText(remaining));
+  return result;
+}
+
+http::request_header<> HeadToCarrier(const http::request_header<>& head,
+                                     const GatewayRequest& request,
+                                     Duration remaining,
+                                     const HeaderNames& names) {
+  http::request_header<> result;
+  result.version(kHttp11);
+  result.method_string(head.method_string());
+  result.target(head.target());
+  for (const auto& field : head) {
+    const std::string_view name(field.name_string().data(),
+                                field.name_string().size());
+    const bool is_replaced = Equals(name, names.deadline_ms) ||
+                             field.name() == http::field::expect ||
+                             IsOfHosts(name);
+    if (!is_replaced && !IsFraming(field) && !IsHopByHop(head, field))
+      result.insert(field.name(), field.name_string(), field.value());
+  }
+  SetLength(head, request, result);
+  result.set(names.deadline_ms, MillisecondsText(remaining));
   return result;
 }
 
--- a/src/comfreyvane/gateway/message_heads.h
+++ b/src/comfreyvane/gateway/message_heads.h
@@ -26,6 +26,15 @@
     Duration remaining,
     const HeaderNames& names);
 
+/// @param remaining time until the request's deadline.
+/// @return the head to send to a host that carries the request, without mark:
+///     as the caller sent it, but for the deadline and hop-by-hop fields.
+[[nodiscard]] boost::beast::http::request_header<> HeadToCarrier(
+    const boost::beast::http::request_header<>& head,
+    const GatewayRequest& request,
+    Duration remaining,
+    const HeaderNames& names);
+
 /// Copies the fields of a backend server's answer, except framing and
 /// hop-by-hop fields.
 void CopyAnswerFields(const boost::beast::http::response_header<>& from,
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -50,6 +50,10 @@
 /// heartbeats report different ones.
 constexpr std::size_t kMaxLimitsPerDatagram = 32;
 
+/// Interval of questions to other hosts while a path is lost or in doubt: four
+/// within the lifetime of an answer.
+constexpr Duration kPathQuestionPeriod = std::chrono::milliseconds(300);
+
 /// Maximum fraction of its tokens that a pool grants to another pool.
 constexpr double kMaxGrantFraction = 0.5;
 
@@ -125,6 +129,50 @@
     OnLimitReport(heartbeat.host, report, now);
   if (has_restarted)
     SendLimitsToStartedHost(host, now);
+  ExchangePaths(heartbeat, host, now);
+}
+
+void PeerLink::ExchangePaths(const Heartbeat& heartbeat,
+                             HostId host,
+                             TimePoint now) {
+  if (heartbeat.leaving)
+    context_.carriers.OnLeaving(host);
+  const auto sender = context_.fleet.Find(host);
+  if (!sender)
+    return;
+  if (heartbeat.paths && !heartbeat.leaving) {
+    context_.paths.OnPeerReport(host, *heartbeat.paths, now);
+    context_.carriers.OnReport(
+        *sender,
+        {heartbeat.incarnation, *heartbeat.paths, heartbeat.loop_delay}, now);
+  }
+  if (heartbeat.asked_paths.empty())
+    return;
+  Heartbeat answer = Compose(now);
+  answer.paths = context_.paths.ReportsOn(heartbeat.asked_paths, now);
+  answer.loop_delay = context_.loop_delay;
+  SendTo(*sender, DatagramOf(answer));
+}
+
+void PeerLink::AskForPaths(TimePoint now) {
+  if (now < next_path_question_ || state_.fleet_secret().empty())
+    return;
+  const std::vector<PathGroup> groups = context_.paths.AskedGroups(now);
+  if (groups.empty())
+    return;
+  next_path_question_ = now + kPathQuestionPeriod;
+  Heartbeat question = Compose(now);
+  question.asked_paths = groups;
+  const std::string datagram = DatagramOf(question);
+  for (const FleetHost& host : context_.carriers.HostsToAsk(
+           context_.fleet.Serving(context_.leaving, now)))
+    SendTo(host, datagram);
+}
+
+std::optional<std::uint64_t> PeerLink::IncarnationOf(HostId host) const {
+  const auto found = peers_.find(host);
+  return found == peers_.end() ? std::nullopt
+                               : std::optional(found->second.incarnation);
 }
 
 void PeerLink::OnLimitReport(const std::string& host,
@@ -297,6 +345,7 @@
 
 void PeerLink::OnTick(TimePoint now) {
   context_.backends.OnPeerUse(use_.Expire(now), now);
+  AskForPaths(now);
   if (now >= next_transfer_)
     ReturnSpareTokens(now);
   if (now >= next_region_send_)
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -41,6 +42,10 @@
   /// Sends heartbeats to all hosts immediately.
   void SendAll(TimePoint now);
 
+  /// @return the run of a host by its last heartbeat; nothing if none has been
+  ///     received.
+  [[nodiscard]] std::optional<std::uint64_t> IncarnationOf(HostId host) const;
+
   /// Requests tokens of a limit from the pool of the failure domain or, if this
   /// host is the pool, from other pools. Requests are rate limited.
   /// @return whether tokens may arrive shortly. False if recent requests were
@@ -94,6 +99,10 @@
   [[nodiscard]] Heartbeat Compose(TimePoint now);
   [[nodiscard]] std::string DatagramOf(const Heartbeat& heartbeat) const;
   void SendTo(const FleetHost& host, const std::string& datagram);
+  /// Asks other hosts what they reach, if this host doubts its own path.
+  void AskForPaths(TimePoint now);
+  /// Records what another host reaches, or answers its question.
+  void ExchangePaths(const Heartbeat& heartbeat, HostId host, TimePoint now);
 
   GatewayState& state_;
   GatewayContext& context_;
@@ -105,6 +114,7 @@
   TimePoint next_region_send_{};
   TimePoint next_other_regions_send_{};
   TimePoint next_transfer_{};
+  TimePoint next_path_question_{};
   std::unordered_map<HostId, Peer> peers_;
   PeerUse use_;
   /// The last request for tokens of a limit.
--- a/src/comfreyvane/metrics/counter_name.cc
+++ b/src/comfreyvane/metrics/counter_name.cc
@@ -53,6 +53,14 @@
      "Answers of backend servers that belong to no request."},
     {CounterName::kHeldBackByLimit, "comfreyvane_held_back_by_limit_total",
      "Requests that a server's request limit sent elsewhere."},
+    {CounterName::kLostPaths, "comfreyvane_lost_paths_total",
+     "Losses of the path to a group of backend servers."},
+    {CounterName::kProbes, "comfreyvane_probes_total",
+     "Health checks sent to backend servers while a path was in doubt."},
+    {CounterName::kCarriedByPeers, "comfreyvane_carried_by_peers_total",
+     "Requests sent to backend servers through another host."},
+    {CounterName::kCarriedForPeers, "comfreyvane_carried_for_peers_total",
+     "Requests of other hosts that this host has carried."},
 }};
 
 const CounterNameRow& Row(CounterName counter) {
--- a/src/comfreyvane/metrics/counter_name.h
+++ b/src/comfreyvane/metrics/counter_name.h
@@ -30,11 +30,15 @@
   kSkippedRows,         ///< Rows of the store that cannot be used.
   kStrayAnswers,        ///< Answers that belong to no request here.
   kHeldBackByLimit,     ///< Requests that a server's limit sent elsewhere.
+  kLostPaths,           ///< Losses of the path to a group of servers.
+  kProbes,              ///< Health checks sent while a path was in doubt.
+  kCarriedByPeers,      ///< Requests sent through another host.
+  kCarriedForPeers,     ///< Requests of other hosts that were carried.
 };
 
 /// Number of counter names.
 inline constexpr std::size_t kCounterNameCount =
-    static_cast<std::size_t>(CounterName::kHeldBackByLimit) + 1;
+    static_cast<std::size_t>(CounterName::kCarriedForPeers) + 1;
 
 /// @return the name in the metrics text, such as "comfreyvane_requests_total".
 [[nodiscard]] std::string_view Name(CounterName counter);
--- a/src/comfreyvane/net/backend_pool.cc
+++ b/src/comfreyvane/net/backend_pool.cc
@@ -21,14 +21,28 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    const bool fresh = now - connection->idle_since() <
-                       std::min(idle_limit_, connection->idle_limit());
-    if (fresh && !connection->IsStale())
+    if (IsLive(*connection, now))
       return connection;
   }
   return nullptr;
 }
 
+bool BackendPool::HasLive(BackendServerId server, TimePoint now) {
+  const auto found = idle_.find(server);
+  if (found == idle_.end())
+    return false;
+  Idle& idle = found->second;
+  while (!idle.empty() && !IsLive(*idle.back(), now))
+    idle.pop_back();
+  return !idle.empty();
+}
+
+bool BackendPool::IsLive(BackendConnection& connection, TimePoint now) const {
+  const bool fresh = now - connection.idle_since() <
+                     std::min(idle_limit_, connection.idle_limit());
+  return fresh && !connection.IsStale();
+}
+
 void BackendPool::Give(BackendServerId server,
                        std::unique_ptr<BackendConnection> connection,
                        TimePoint now) {
--- a/src/comfreyvane/net/backend_pool.h
+++ b/src/comfreyvane/net/backend_pool.h
@@ -34,6 +34,10 @@
   /// Closes what has been idle for too long.
   void Prune(TimePoint now);
 
+  /// Closes the idle connections to a server that are not alive.
+  /// @return whether others are left.
+  [[nodiscard]] bool HasLive(BackendServerId server, TimePoint now);
+
   /// Closes all idle connections to a server.
   void Drop(BackendServerId server);
 
@@ -43,6 +47,8 @@
  private:
   using Idle = std::vector<std::unique_ptr<BackendConnection>>;
 
+  [[nodiscard]] bool IsLive(BackendConnection& connection, TimePoint now) const;
+
   Duration idle_limit_;
   std::unordered_map<BackendServerId, Idle> idle_;
 };
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -173,6 +173,15 @@
     socket().cancel(ignored);
   }
 
+  /// @return whether the caller has closed its connection and nothing that it
+  ///     sent is left to be read.
+  [[nodiscard]] bool IsClosedByCaller() {
+    char byte = 0;
+    const auto size =
+        recv(socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
   /// Resets the connection, so that no part of an answer passes for a whole.
   void Abort() {
     error_code ignored;
--- a/src/comfreyvane/net/exchange_failure.h
+++ b/src/comfreyvane/net/exchange_failure.h
@@ -9,7 +9,7 @@
 enum class ExchangeFailure {
   kNone,
   kClosed,     ///< The other end closed or reset the connection.
-  kTimeout,    ///< No progress within the timeout, or cancelled.
+  kTimeout,    ///< No progress within a timeout, or cancelled.
   kMalformed,  ///< The message breaks the protocol or ended early.
   kTooLarge,   ///< The body is over its limit.
 };
--- a/src/comfreyvane/net/liveness_options.cc
+++ b/src/comfreyvane/net/liveness_options.cc
@@ -7,7 +7,8 @@
 namespace comfreyvane {
 namespace {
 
-/// Time after which the kernel gives up on bytes that were not acknowledged.
+/// Time after which the kernel gives up on bytes that were not acknowledged. It
+/// also decides when keep-alive probes give up, whatever their number.
 constexpr int kUnacknowledgedMs = 2000;
 
 /// Keep-alive probes: after a second without traffic, each second, and two
--- a/src/comfreyvane/net/message_reader.h
+++ b/src/comfreyvane/net/message_reader.h
@@ -20,7 +20,9 @@
   namespace http = boost::beast::http;
   if (!error)
     return ExchangeFailure::kNone;
-  if (error == asio::error::operation_aborted)
+  // The kernel has given up on the other end.
+  if (error == asio::error::operation_aborted ||
+      error == asio::error::timed_out)
     return ExchangeFailure::kTimeout;
   if (error == http::error::body_limit)
     return ExchangeFailure::kTooLarge;
--- a/tests/comfreyvane/edge/object_homes_test.cc
+++ b/tests/comfreyvane/edge/object_homes_test.cc
@@ -26,7 +26,8 @@
   }
 
   [[nodiscard]] ObjectHomes HomesOf(const PickRequest& request) const {
-    return comfreyvane::HomesOf(request, kWest, slots_, kStart);
+    return comfreyvane::HomesOf(request, kWest, slots_, HomeScope::kReachable,
+                                kStart);
   }
   [[nodiscard]] ServerSlot& Find(const ServerSlot* wanted) const {
     for (ServerSlot* slot : slots_) {
--- /dev/null
+++ b/tests/comfreyvane/edge/path_monitor_test.cc
@@ -0,0 +1,238 @@
+#include "comfreyvane/edge/path_monitor.h"
+
+#include <string>
+
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+constexpr Duration kTick = milliseconds(50);
+
+/// A host with six servers of two services in three failure domains.
+class MonitoredHost {
+ public:
+  static constexpr std::size_t kServers = 6;
+
+  MonitoredHost() {
+    for (std::size_t i = 0; i < kServers; ++i)
+      paths.OnListed(Server(i), ServiceId(i % 2), FailureDomainId(i / 2));
+    Run(seconds(3));
+  }
+
+  [[nodiscard]] static BackendServerId Server(std::size_t number) {
+    return BackendServerId(100 + number);
+  }
+
+  /// Lets servers that are reached answer requests, one each 10 ms.
+  void Run(Duration span) {
+    for (const TimePoint end = now + span; now < end; now += milliseconds(10)) {
+      const std::size_t server = ++requests_ % kServers;
+      paths.OnSent(Server(server), now);
+      if (is_reached[server])
+        paths.OnAnswered(Server(server), now);
+      Tick();
+    }
+  }
+  /// Sends nothing.
+  void Wait(Duration span) {
+    for (const TimePoint end = now + span; now < end; now += milliseconds(10))
+      Tick();
+  }
+  void SetReached(bool reached) {
+    for (bool& one : is_reached)
+      one = reached;
+  }
+  /// Another host reports that it reaches all servers.
+  void HearFromPeer() {
+    std::vector<PathReport> reports;
+    for (const PathGroup& group : paths.AskedGroups(now))
+      reports.push_back({group, milliseconds(20)});
+    paths.OnPeerReport(HostId(1), reports, now);
+  }
+  [[nodiscard]] bool HasLost(const PathGroup& group) const {
+    for (const PathChange& change : changes) {
+      if (change.kind == PathChange::Kind::kLost && change.group == group)
+        return true;
+    }
+    return false;
+  }
+
+  PathMonitor paths;
+  TimePoint now = kStart;
+  std::array<bool, kServers> is_reached = {true, true, true, true, true, true};
+  bool has_peer = true;
+  bool answers_probes = false;
+  std::vector<PathChange> changes;
+
+ private:
+  void Tick() {
+    if (now < next_tick_)
+      return;
+    next_tick_ = now + kTick;
+    if (has_peer)
+      HearFromPeer();
+    for (const PathChange& change : paths.Update(now))
+      changes.push_back(change);
+    const auto probes =
+        paths.TakeProbes([](BackendServerId) { return true; }, now);
+    for (const BackendServerId server : probes)
+      Probe(server);
+  }
+
+  void Probe(BackendServerId server) {
+    paths.OnSent(server, now);
+    if (!answers_probes)
+      return;
+    paths.OnConnected(server, now);
+    paths.OnAnswered(server, now);
+    paths.OnProbeAnswered(server, now);
+  }
+
+  TimePoint next_tick_{};
+  std::size_t requests_ = 0;
+};
+
+}  // namespace
+
+Test(path_monitor,
+     silence_of_all_servers_is_a_lost_path_if_a_peer_has_answers) {
+  MonitoredHost host;
+  host.SetReached(false);
+  host.Run(seconds(1));
+  cr_assert(host.HasLost(PathGroup::All()));
+  cr_expect(host.changes.front().witness == HostId(1));
+  cr_expect(host.changes.front().silence < milliseconds(900));
+  cr_expect(host.paths.ReachOf(MonitoredHost::Server(0), host.now) ==
+            ServerReach::kNone);
+  cr_expect(host.paths.ReportsOn({PathGroup::All()}, host.now).empty());
+}
+
+Test(path_monitor, silence_alone_is_no_lost_path) {
+  MonitoredHost host;
+  host.has_peer = false;
+  host.SetReached(false);
+  host.Run(seconds(5));
+  cr_expect(host.changes.empty(), "the servers may be down");
+}
+
+Test(path_monitor, one_silent_server_is_no_lost_path) {
+  MonitoredHost host;
+  host.is_reached[2] = false;
+  host.Run(seconds(5));
+  cr_expect(host.changes.empty());
+}
+
+Test(path_monitor, a_host_without_traffic_has_no_evidence) {
+  MonitoredHost host;
+  host.SetReached(false);
+  host.Wait(seconds(10));
+  cr_expect(host.changes.empty());
+}
+
+Test(path_monitor, requests_that_end_with_the_traffic_are_no_evidence) {
+  MonitoredHost host;
+  host.answers_probes = true;
+  host.SetReached(false);
+  host.Run(milliseconds(40));
+  host.Wait(seconds(3));
+  cr_expect(host.changes.empty(), "probes are answered");
+}
+
+Test(path_monitor, a_pause_of_the_host_is_no_silence) {
+  MonitoredHost host;
+  host.paths.OnSent(MonitoredHost::Server(0), host.now);
+  host.paths.OnSent(MonitoredHost::Server(3), host.now);
+  host.paths.OnSent(MonitoredHost::Server(5), host.now);
+  host.now += seconds(4);
+  host.Wait(milliseconds(100));
+  host.Run(seconds(1));
+  cr_expect(host.changes.empty());
+}
+
+Test(path_monitor, failed_connects_to_several_servers_are_a_lost_path) {
+  MonitoredHost host;
+  host.has_peer = false;
+  for (const std::size_t server : {0U, 3U, 5U})
+    host.paths.OnConnectFailed(MonitoredHost::Server(server), host.now);
+  host.Run(milliseconds(200));
+  cr_assert(host.HasLost(PathGroup::All()));
+  cr_expect(host.changes.front().refused == 3U);
+  cr_expect(host.paths.ReachOf(MonitoredHost::Server(1), host.now) ==
+                ServerReach::kOpenConnections,
+            "requests on open connections are answered");
+}
+
+Test(path_monitor, a_connect_that_succeeds_outweighs_those_that_failed) {
+  MonitoredHost host;
+  for (const std::size_t server : {0U, 3U, 5U})
+    host.paths.OnConnectFailed(MonitoredHost::Server(server), host.now);
+  host.now += milliseconds(20);
+  host.paths.OnConnected(MonitoredHost::Server(1), host.now);
+  host.Run(seconds(2));
+  cr_expect(host.changes.empty(), "some servers are down");
+}
+
+Test(path_monitor, a_failure_domain_that_is_cut_off_is_lost_alone) {
+  MonitoredHost host;
+  for (const std::size_t server : {2U, 3U}) {
+    host.is_reached[server] = false;
+    host.paths.OnConnectFailed(MonitoredHost::Server(server), host.now);
+  }
+  host.Run(milliseconds(200));
+  cr_assert(host.HasLost(PathGroup::Of(FailureDomainId(1))));
+  cr_expect(!host.HasLost(PathGroup::All()));
+  cr_expect(host.paths.LostGroupOf(MonitoredHost::Server(2)) ==
+            PathGroup::Of(FailureDomainId(1)));
+  cr_expect(!host.paths.LostGroupOf(MonitoredHost::Server(0)));
+}
+
+Test(path_monitor, requests_return_to_a_path_by_and_by) {
+  MonitoredHost host;
+  host.SetReached(false);
+  host.Run(seconds(2));
+  cr_assert(host.HasLost(PathGroup::All()));
+  host.SetReached(true);
+  host.answers_probes = true;
+  host.Wait(milliseconds(500));
+  cr_assert(host.changes.back().kind == PathChange::Kind::kRegained);
+  int direct_early = 0;
+  int direct_late = 0;
+  for (int i = 0; i < 20; ++i) {
+    direct_early +=
+        host.paths.HoldBack(MonitoredHost::Server(0), host.now) ? 0 : 1;
+    direct_late +=
+        host.paths.HoldBack(MonitoredHost::Server(0), host.now + seconds(2))
+            ? 0
+            : 1;
+  }
+  cr_expect(direct_early >= 1 && direct_early <= 6, "%d", direct_early);
+  cr_expect(direct_late >= 18, "%d", direct_late);
+  host.Run(seconds(3));
+  cr_expect(host.changes.back().kind == PathChange::Kind::kOpen);
+  cr_expect(!host.paths.is_disturbed());
+}
+
+Test(path_monitor, one_server_that_answers_probes_is_no_path) {
+  MonitoredHost host;
+  host.SetReached(false);
+  host.Run(seconds(2));
+  host.paths.OnProbeAnswered(MonitoredHost::Server(4), host.now);
+  host.Wait(seconds(1));
+  cr_expect(host.changes.back().kind == PathChange::Kind::kLost);
+}
+
+Test(path_monitor, servers_that_are_gone_leave_no_state) {
+  MonitoredHost host;
+  host.SetReached(false);
+  host.Run(seconds(2));
+  cr_assert(host.paths.is_disturbed());
+  for (std::size_t i = 0; i < MonitoredHost::kServers; ++i)
+    host.paths.OnGone(MonitoredHost::Server(i));
+  cr_expect(!host.paths.is_disturbed());
+  cr_expect(host.paths.Update(host.now).empty());
+}
--- a/tests/comfreyvane/gateway/fleet_codec_test.cc
+++ b/tests/comfreyvane/gateway/fleet_codec_test.cc
@@ -23,6 +23,11 @@
   heartbeat.limits = {{BackendServerId::Of("i-1"), 1700000000000, 2.4,
                        std::chrono::milliseconds(350)},
                       {BackendServerId::Of("i-2"), 1, std::nullopt, {}}};
+  heartbeat.asked_paths = {PathGroup::All(),
+                           PathGroup::Of(ServiceId::Of("capture"))};
+  heartbeat.paths = {{PathGroup::Of(FailureDomainId::Of("west-a")),
+                      std::chrono::milliseconds(120)}};
+  heartbeat.loop_delay = std::chrono::milliseconds(3);
   return heartbeat;
 }
 
@@ -52,7 +57,13 @@
         "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
         "\"use\":[[1,5000000000]]}",
         "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
-        "\"limits\":[[1,1,2.4]]}"}) {
+        "\"limits\":[[1,1,2.4]]}",
+        "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
+        "\"asked\":[[3,1]]}",
+        "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
+        "\"paths\":[[0,0,-1]],\"delay_ms\":0}",
+        "{\"host\":\"a\",\"incarnation\":1,\"sequence\":1,"
+        "\"paths\":[]}"}) {
     cr_expect(!ParseHeartbeat(text), "%s", text);
     cr_expect(!ParseFleetHost(text), "%s", text);
   }
