Judge open connections by their answers, and silence of all servers without a peer

Open connections of a lost group now count only as long as answers come, silence needs no earlier answer, and silence of all servers for a second longer is a lost path also without another host's answers, so that requests are refused at once.

--- a/src/comfreyvane/edge/backend_picker_reach.cc
+++ b/src/comfreyvane/edge/backend_picker_reach.cc
@@ -8,7 +8,7 @@
   unreachable_ = 0;
   for (auto& [id, slot] : states_) {
     const ServerReach before = slot->reach;
-    slot->reach = paths.ReachOf(id, now);
+    slot->reach = paths.ReachOf(id);
     if (slot->reach != ServerReach::kDirect)
       ++unreachable_;
     if (slot->reach == before)
--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -33,6 +33,10 @@
 /// a round trip between regions and the wait for a slot.
 constexpr Duration kServerSilence = std::chrono::milliseconds(250);
 
+/// Time without answers to requests and probes, after which a host does not
+/// expect any even if no other host has answers.
+constexpr Duration kLoneSilence = std::chrono::seconds(1);
+
 /// Time within which the connects of probes succeed if there is a path: two
 /// round trips between regions.
 constexpr Duration kProbeConnectTime = std::chrono::milliseconds(100);
@@ -228,8 +232,10 @@
                     .lasted = now - group.changed_at};
   if (group.state == State::kLost) {
     const std::size_t needed = std::min(kMinProbed, group.members.size());
-    if (group.probed.size() < needed)
+    if (group.probed.size() < needed) {
+      group.has_open_connections &= !IsSilent(id, group, now);
       return std::nullopt;
+    }
     SetState(group, State::kRegained, now);
     change.kind = PathChange::Kind::kRegained;
     return change;
@@ -250,15 +256,19 @@
   const bool has_witness =
       group.witness && group.witness->answered_at > group.last_answer &&
       IsWithin(group.witness->answered_at, kWitnessMemory, now);
-  // Probes have had time to be answered.
+  // Probes have had time to be answered. Without another host's answers, the
+  // servers may be down; requests to them are refused at once all the same.
+  const Duration needed_silence = has_witness ? kServerSilence : kLoneSilence;
+  const bool may_be_lone = id.kind == PathGroup::Kind::kAll;
   const bool is_silent = group.suspected_at != TimePoint{} &&
-                         now - group.suspected_at >= kServerSilence &&
-                         has_witness && AreSeveral(evidence.servers, group);
+                         now - group.suspected_at >= needed_silence &&
+                         (has_witness || may_be_lone) &&
+                         AreSeveral(evidence.servers, group);
   if (fails_connects || is_silent) {
-    if (!fails_connects)
+    if (has_witness)
       change.witness = group.witness->host;
     SetState(group, State::kLost, now);
-    group.fails_connects = fails_connects;
+    group.has_open_connections = fails_connects && !IsSilent(id, group, now);
     change.kind = PathChange::Kind::kLost;
     return change;
   }
@@ -351,7 +361,7 @@
 bool PathMonitor::IsSilent(const PathGroup& id,
                            const Group& group,
                            TimePoint now) const {
-  if (group.running == 0 || group.last_answer == TimePoint{})
+  if (group.running == 0)
     return false;
   // The first answers after an idle time take as long as the work does.
   if (group.busy_since - group.last_answer > kMinSilence) {
@@ -386,14 +396,12 @@
   return order;
 }
 
-ServerReach PathMonitor::ReachOf(BackendServerId server, TimePoint now) const {
+ServerReach PathMonitor::ReachOf(BackendServerId server) const {
   const auto lost = LostGroupOf(server);
   if (!lost)
     return ServerReach::kDirect;
-  const Group& group = groups_.at(*lost);
-  const bool answers = !IsSilent(*lost, group, now);
-  return group.fails_connects && answers ? ServerReach::kOpenConnections
-                                         : ServerReach::kNone;
+  return groups_.at(*lost).has_open_connections ? ServerReach::kOpenConnections
+                                                : ServerReach::kNone;
 }
 
 std::optional<PathGroup> PathMonitor::LostGroupOf(
--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -29,7 +29,7 @@
 /// - connects to several servers failed, and none succeeded since, or
 /// - requests and probes at several servers are not answered, nor are those at
 ///   any other server of the group, while another host has answers of the
-///   group.
+///   group; or, for all servers together, for a longer time.
 ///
 /// Servers of several failure domains are needed if the group has them. One
 /// server's failure is no evidence, and a host without traffic has none.
@@ -75,8 +75,7 @@
   [[nodiscard]] std::vector<BackendServerId> TakeProbes(CanProbe can_probe,
                                                         TimePoint now);
 
-  [[nodiscard]] ServerReach ReachOf(BackendServerId server,
-                                    TimePoint now) const;
+  [[nodiscard]] ServerReach ReachOf(BackendServerId server) const;
   /// @return the group whose loss makes a server unreachable; nothing if it can
   ///     be reached.
   [[nodiscard]] std::optional<PathGroup> LostGroupOf(
@@ -127,7 +126,8 @@
     TimePoint busy_since{};     ///< When the first of these was sent.
     TimePoint suspected_at{};   ///< Start of a silence; zero: none.
     TimePoint refused_at{};     ///< Several servers refuse; zero: they do not.
-    bool fails_connects = false;       ///< Lost because new connections fail.
+    /// While lost: connections that are open still bring answers.
+    bool has_open_connections = false;
     std::set<BackendServerId> probed;  ///< Servers that answered probes.
     std::optional<Witness> witness;
     double direct_credit = 0.0;
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -16,12 +16,14 @@
 /// The last segment of the path selects the behaviour: "ok", "shed" (refuses
 /// without running), "error" (500), "break" (closes the connection while it
 /// runs the request), "stray" (sends an answer to another request first),
-/// "unsealed" (omits the seal).
+/// "unsealed" (omits the seal), "large" (answers with 400 KB).
 class ServerStandin {
  public:
   ServerStandin(asio::io_context& io, std::string name)
       : io_(io), name_(std::move(name)) {}
 
+  static constexpr std::size_t kLargeBytes = 400'000;
+
   std::map<std::string, int> runs;  ///< By request identifier.
   std::string last_workspace;
   std::string last_deadline;
@@ -64,6 +66,8 @@
       if (!limit.empty())
         answer.set("Server-Limit", limit);
       answer.body() = "from " + name_;
+      if (behaviour == "large")
+        answer.body().append(kLargeBytes, 'x');
       if (behaviour == "stray")
         co_await WriteStray(exchange);
     }
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -58,6 +58,11 @@
   void Delete(const std::string& table, const std::string& key) {
     rows_[{table, key}] = {"", ++version_, true};
   }
+  [[nodiscard]] std::string ValueOf(const std::string& table,
+                                    const std::string& key) const {
+    const auto found = rows_.find({table, key});
+    return found == rows_.end() ? "" : found->second.value;
+  }
   [[nodiscard]] bool Has(const std::string& table,
                          const std::string& key) const {
     const auto found = rows_.find({table, key});
--- a/tests/platform/stranded_fleet.h
+++ b/tests/platform/stranded_fleet.h
@@ -22,6 +22,7 @@
 #include "platform/stranded_configuration.h"
 #include "soak/fault_proxy.h"
 #include "support/free_port.h"
+#include "support/loopback_edge.h"
 
 namespace comfreyvane::testing {
 
@@ -119,6 +120,25 @@
     });
     return runs;
   }
+  /// @return the secret with which hosts authenticate each other.
+  [[nodiscard]] std::string Secret() {
+    std::string secret;
+    OnStandins([&] { secret = store_.ValueOf("hosts", "!secret"); });
+    return secret;
+  }
+  /// @return requests that a host has carried for others.
+  [[nodiscard]] int CarriedBy(std::size_t host) const {
+    const std::string name = "\ncomfreyvane_carried_for_peers_total ";
+    RawClient client({asio::ip::address_v4::loopback(),
+                      hosts_[host]->settings.lookups.port});
+    client.Send(
+        "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const std::string text = client.ReceiveAll();
+    const auto found = text.find(name);
+    return found == std::string::npos
+               ? -1
+               : std::stoi(text.substr(found + name.size()));
+  }
   [[nodiscard]] bool ServersSawKey() {
     bool saw_key = false;
     OnStandins([&] {
