Do not count connections that break together as crashes of servers

Connections of the host were reset while requests ran; each reset counted as a crash of its server, and what other hosts had reported once was kept for two minutes, also after they had had an answer and reported nothing more.

Requests under way at several servers whose connections break within 20 ms are no crashes; a retry, sent after the first crash, still counts. A peer's report replaces all that it reported before, and an answer through another host clears the record.

--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -10,6 +10,7 @@
 struct BackendUse;
 struct CallerLimits;
 struct Carrier;
+struct CrashCount;
 struct EdgeRoute;
 struct EdgeService;
 struct EdgeWorkspace;
--- a/src/comfreyvane/edge/poison_request_tracker.cc
+++ b/src/comfreyvane/edge/poison_request_tracker.cc
@@ -1,6 +1,7 @@
 #include "comfreyvane/edge/poison_request_tracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace comfreyvane {
 namespace {
@@ -11,6 +12,9 @@
 /// Time after the last crash for which a record is valid.
 constexpr Duration kRetention = std::chrono::minutes(2);
 
+/// Servers that close connections within this time do so for the same reason.
+constexpr Duration kBreakSpan = std::chrono::milliseconds(20);
+
 /// Time before a crash is reported to peers. A host notices within this time
 /// that its connections broke because it lost its path to the servers.
 constexpr Duration kReportDelay = std::chrono::milliseconds(700);
@@ -36,7 +40,20 @@
 }
 
 void PoisonRequestTracker::OnServerCrash(std::uint64_t fingerprint,
+                                         BackendServerId server,
+                                         TimePoint sent_at,
                                          TimePoint now) {
+  const Break last = std::exchange(last_break_, {server, now});
+  // A retry, which is sent after the first crash, may crash the next server.
+  const bool is_simultaneous = last.at != TimePoint{} &&
+                               last.server != server && sent_at < last.at &&
+                               now - last.at < kBreakSpan;
+  if (is_simultaneous) {
+    Retract(last.at);
+    broken_at_ = last.at;
+  }
+  if (sent_at < broken_at_)
+    return;
   Trim(now);
   Record& record = records_[fingerprint];
   if (record.own.size() < kMaxCrashes)
@@ -49,22 +66,24 @@
     std::erase_if(record.own, [since](TimePoint at) { return at >= since; });
 }
 
-void PoisonRequestTracker::OnPeerReport(std::uint64_t fingerprint,
-                                        std::uint32_t count,
-                                        std::uint64_t peer,
+void PoisonRequestTracker::OnPeerReport(std::uint64_t peer,
+                                        const std::vector<CrashCount>& counts,
                                         TimePoint now) {
-  Trim(now);
-  Record& record = records_[fingerprint];
-  record.by_peer[peer] = count;
-  record.updated_at = now;
+  for (auto& [fingerprint, record] : records_)
+    record.by_peer.erase(peer);
+  for (const CrashCount& reported : counts) {
+    Trim(now);
+    Record& record = records_[reported.fingerprint];
+    record.by_peer[peer] = reported.count;
+    record.updated_at = now;
+  }
 }
 
 void PoisonRequestTracker::OnAnswered(std::uint64_t fingerprint) {
   records_.erase(fingerprint);
 }
 
-std::vector<PoisonRequestTracker::CrashCount> PoisonRequestTracker::CrashCounts(
-    TimePoint now) const {
+std::vector<CrashCount> PoisonRequestTracker::CrashCounts(TimePoint now) const {
   std::vector<CrashCount> counts;
   for (const auto& [fingerprint, record] : records_) {
     if (now - record.updated_at > kRetention)
--- a/src/comfreyvane/edge/poison_request_tracker.h
+++ b/src/comfreyvane/edge/poison_request_tracker.h
@@ -8,7 +8,10 @@
 #include <unordered_set>
 #include <vector>
 
+#include "comfreyvane/base/basic_id.h"
+#include "comfreyvane/base/fwd.h"
 #include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/crash_count.h"
 
 namespace comfreyvane {
 
@@ -21,24 +24,24 @@
   [[nodiscard]] bool MayRun(std::uint64_t fingerprint, TimePoint now) const;
 
   /// Records that a backend server closed the connection while it ran the
-  /// request for this host.
-  void OnServerCrash(std::uint64_t fingerprint, TimePoint now);
+  /// request for this host. If several servers do so at the same time, their
+  /// connections broke for another reason, and none of it counts.
+  /// @param sent_at when the request was sent to the server.
+  void OnServerCrash(std::uint64_t fingerprint,
+                     BackendServerId server,
+                     TimePoint sent_at,
+                     TimePoint now);
   /// Forgets the crashes that this host has seen since a time, because its
   /// connections broke for another reason.
   void Retract(TimePoint since);
-  /// Records the crash count that a peer has reported for a request; replaces
-  /// the peer's earlier count.
-  void OnPeerReport(std::uint64_t fingerprint,
-                    std::uint32_t count,
-                    std::uint64_t peer,
+  /// Records the crash counts that a peer reports; they replace all that it has
+  /// reported before.
+  void OnPeerReport(std::uint64_t peer,
+                    const std::vector<CrashCount>& counts,
                     TimePoint now);
   /// Clears the record of a request that a backend server has answered.
   void OnAnswered(std::uint64_t fingerprint);
 
-  struct CrashCount {
-    std::uint64_t fingerprint = 0;
-    std::uint32_t count = 0;
-  };
   /// @return the crash counts of this host, to be sent to peers. Crashes that
   ///     have just been seen are left out, since they may be retracted.
   [[nodiscard]] std::vector<CrashCount> CrashCounts(TimePoint now) const;
@@ -52,7 +55,16 @@
   [[nodiscard]] static std::uint32_t Total(const Record& record);
   void Trim(TimePoint now);
 
+  /// The last connection that a server closed.
+  struct Break {
+    BackendServerId server;
+    TimePoint at{};
+  };
+
   std::unordered_map<std::uint64_t, Record> records_;
+  Break last_break_;
+  /// Requests sent before this time were on connections that broke together.
+  TimePoint broken_at_{};
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -272,7 +272,8 @@
   const bool is_reached =
       context_.backends.ReachOf(choice.server) != ServerReach::kNone;
   if (result.closed_mid_request && is_reached)
-    context_.poison.OnServerCrash(request.fingerprint, now);
+    context_.poison.OnServerCrash(request.fingerprint, choice.server,
+                                  now - latency, now);
   else if (result.run_state == RunState::kRan)
     context_.poison.OnAnswered(request.fingerprint);
   if (result.load)
@@ -313,6 +314,8 @@
                                    Duration latency,
                                    TimePoint now) {
   context_.metrics.Count(CounterName::kCarriedByPeers);
+  if (result.run_state == RunState::kRan)
+    context_.poison.OnAnswered(request.fingerprint);
   if (!context_.attempt_lines.TryTake(now))
     return;
   Log(LogLevel::kInfo, "request-carried",
--- a/src/comfreyvane/gateway/heartbeat.h
+++ b/src/comfreyvane/gateway/heartbeat.h
@@ -11,6 +11,7 @@
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/edge/backend_use.h"
+#include "comfreyvane/edge/crash_count.h"
 #include "comfreyvane/edge/limit_report.h"
 #include "comfreyvane/edge/path_group.h"
 #include "comfreyvane/edge/path_report.h"
@@ -18,15 +19,6 @@
 
 namespace comfreyvane {
 
-/// How often backend servers closed the connection while they processed a
-/// request.
-struct CrashCount {
-  std::uint64_t fingerprint = 0;  ///< Of the request.
-  std::uint32_t count = 0;        ///< Seen by the sender.
-
-  friend bool operator==(const CrashCount&, const CrashCount&) = default;
-};
-
 /// A message that a host periodically sends to the other hosts.
 struct Heartbeat {
   std::string host;
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -120,9 +120,7 @@
   context_.fleet.OnHeartbeat(host, heartbeat.leaving, now);
   if (heartbeat.use)
     context_.backends.OnPeerUse(use_.Replace(host, *heartbeat.use, now), now);
-  for (const CrashCount& crashes : heartbeat.crash_counts)
-    context_.poison.OnPeerReport(crashes.fingerprint, crashes.count,
-                                 host.value(), now);
+  context_.poison.OnPeerReport(host.value(), heartbeat.crash_counts, now);
   ReceiveTokens(heartbeat, now);
   GrantTokens(heartbeat, now);
   for (const LimitReport& report : heartbeat.limits)
@@ -429,9 +427,7 @@
   heartbeat.incarnation = incarnation_;
   heartbeat.sequence = ++sequence_;
   heartbeat.leaving = context_.leaving;
-  for (const PoisonRequestTracker::CrashCount& suspect :
-       context_.poison.CrashCounts(now))
-    heartbeat.crash_counts.push_back({suspect.fingerprint, suspect.count});
+  heartbeat.crash_counts = context_.poison.CrashCounts(now);
   return heartbeat;
 }
 
--- a/tests/platform/stranded_hosts_test.cc
+++ b/tests/platform/stranded_hosts_test.cc
@@ -21,6 +21,7 @@
 
 using namespace comfreyvane;
 using namespace comfreyvane::testing;
+using soak::CutKind;
 
 namespace {
 
