Keep a part that is lost when all servers have become reachable again

PathMonitor opened every failure domain and service again when requests had returned to the path to all servers, so that a part that was still cut off, and had been found out meanwhile, was used once more until it was judged again. Found by reading. The parts are reset only when all servers are lost or just back. Judge is split by the evidence that it weighs.

--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -1,7 +1,6 @@
 #include "comfreyvane/edge/path_monitor.h"
 
 #include <algorithm>
-#include <cassert>
 
 namespace comfreyvane {
 namespace {
@@ -208,9 +207,9 @@
     if (auto change = Judge(id, group, now))
       changes.push_back(*change);
   }
-  const bool all_changed =
-      !changes.empty() && changes.front().group == PathGroup::All();
-  if (all_changed)
+  // While all servers are lost or just back, the parts are not judged alone.
+  if (!changes.empty() && changes.front().group == PathGroup::All() &&
+      changes.front().kind != PathChange::Kind::kOpen)
     ResetParts(now);
   ForgetFailures(now);
   return changes;
@@ -243,33 +242,14 @@
   const Evidence evidence = EvidenceOn(id, group, now);
   change.silent = evidence.silent;
   change.refused = evidence.refusing.size();
-  if (evidence.silent == 0)
-    group.suspected_at = TimePoint{};
-  else if (group.suspected_at == TimePoint{})
-    group.suspected_at = now;
-  if (!AreSeveral(evidence.refusing, group))
-    group.refused_at = TimePoint{};
-  else if (group.refused_at == TimePoint{})
-    group.refused_at = now;
-  const bool fails_connects = group.refused_at != TimePoint{} &&
-                              now - group.refused_at >= kProbeConnectTime;
-  const bool has_witness =
-      group.witness && group.witness->answered_at > group.last_answer &&
-      IsWithin(group.witness->answered_at, kWitnessMemory, now);
-  // Probes have had time to be answered. Without another host's answers, the
-  // servers may be down; requests to them are refused at once all the same.
-  const Duration needed_silence = has_witness ? kServerSilence : kLoneSilence;
-  const bool may_be_lone = id.kind == PathGroup::Kind::kAll;
-  const bool is_silent = group.suspected_at != TimePoint{} &&
-                         now - group.suspected_at >= needed_silence &&
-                         (has_witness || may_be_lone) &&
-                         AreSeveral(evidence.servers, group);
-  if (fails_connects || is_silent) {
+  NoteDoubts(evidence, group, now);
+  const bool fails_connects = FailsConnects(group, now);
+  const bool has_witness = HasWitness(group, now);
+  if (fails_connects || IsAbandoned(id, evidence, group, now)) {
     if (has_witness)
       change.witness = group.witness->host;
     SetState(group, State::kLost, now);
     group.has_open_connections = fails_connects && !IsSilent(id, group, now);
-    change.kind = PathChange::Kind::kLost;
     return change;
   }
   if (group.state != State::kRegained || now - group.changed_at < kReturnTime)
@@ -279,6 +259,43 @@
   return change;
 }
 
+void PathMonitor::NoteDoubts(const Evidence& evidence,
+                             Group& group,
+                             TimePoint now) const {
+  if (evidence.silent == 0)
+    group.suspected_at = TimePoint{};
+  else if (group.suspected_at == TimePoint{})
+    group.suspected_at = now;
+  if (!AreSeveral(evidence.refusing, group))
+    group.refused_at = TimePoint{};
+  else if (group.refused_at == TimePoint{})
+    group.refused_at = now;
+}
+
+bool PathMonitor::FailsConnects(const Group& group, TimePoint now) {
+  return group.refused_at != TimePoint{} &&
+         now - group.refused_at >= kProbeConnectTime;
+}
+
+bool PathMonitor::HasWitness(const Group& group, TimePoint now) {
+  return group.witness && group.witness->answered_at > group.last_answer &&
+         IsWithin(group.witness->answered_at, kWitnessMemory, now);
+}
+
+bool PathMonitor::IsAbandoned(const PathGroup& id,
+                              const Evidence& evidence,
+                              const Group& group,
+                              TimePoint now) const {
+  if (group.suspected_at == TimePoint{} || !AreSeveral(evidence.servers, group))
+    return false;
+  // Probes have had time to be answered. Without another host's answers, all
+  // servers may be down; requests to them are refused at once all the same.
+  const Duration doubted = now - group.suspected_at;
+  if (HasWitness(group, now))
+    return doubted >= kServerSilence;
+  return id.kind == PathGroup::Kind::kAll && doubted >= kLoneSilence;
+}
+
 void PathMonitor::SetState(Group& group, State state, TimePoint now) {
   if (group.state != State::kOpen)
     --disturbed_;
--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -158,6 +158,17 @@
   [[nodiscard]] std::optional<PathChange> Judge(const PathGroup& id,
                                                 Group& group,
                                                 TimePoint now);
+  /// Records since when a group is silent or refuses connects.
+  void NoteDoubts(const Evidence& evidence, Group& group, TimePoint now) const;
+  /// @return whether new connections to the servers of a group fail.
+  [[nodiscard]] static bool FailsConnects(const Group& group, TimePoint now);
+  /// @return whether another host has had answers since this one had any.
+  [[nodiscard]] static bool HasWitness(const Group& group, TimePoint now);
+  /// @return whether no answers of a group are to be expected any more.
+  [[nodiscard]] bool IsAbandoned(const PathGroup& id,
+                                 const Evidence& evidence,
+                                 const Group& group,
+                                 TimePoint now) const;
   /// @return the members of a group in an order that changes with each call.
   [[nodiscard]] std::vector<BackendServerId> ProbeOrder(const Group& group);
   void SetState(Group& group, State state, TimePoint now);
--- a/tests/comfreyvane/gateway/message_heads_test.cc
+++ b/tests/comfreyvane/gateway/message_heads_test.cc
@@ -83,3 +83,32 @@
     cr_expect(!MillisecondsOf(text).has_value(), "%s", text);
   cr_expect(MillisecondsOf("9223372036854775807") == std::chrono::hours(1));
 }
+
+Test(message_heads, a_carrier_gets_the_head_as_the_caller_sent_it) {
+  GatewayRequest request;
+  request.key = "secret-key";
+  request.body = "body";
+  http::request_header<> head;
+  head.method(http::verb::post);
+  head.target("/a?b=c");
+  head.set(http::field::host, "h");
+  head.set(http::field::authorization, "Bearer secret-key");
+  head.set(http::field::transfer_encoding, "chunked");
+  head.set(http::field::expect, "100-continue");
+  head.set(http::field::connection, "keep-alive, X-Hop");
+  head.set("X-Hop", "1");
+  head.set("X-Id", "r1");
+  head.set("X-Deadline", "9000");
+  head.set("X-Comfreyvane-Carried", "forged");
+  const auto sent = HeadToCarrier(head, request, milliseconds(700), Names());
+  cr_expect(sent.method() == http::verb::post && sent.target() == "/a?b=c");
+  cr_expect(sent[http::field::host] == "h");
+  cr_expect(sent[http::field::authorization] == "Bearer secret-key",
+            "the carrier checks the key as well");
+  cr_expect(sent["X-Id"] == "r1");
+  cr_expect(sent["X-Deadline"] == "700");
+  cr_expect(sent[http::field::content_length] == "4");
+  for (const char* dropped : {"Transfer-Encoding", "Expect", "Connection",
+                              "X-Hop", "X-Comfreyvane-Carried"})
+    cr_expect(sent.count(dropped) == 0U, "%s", dropped);
+}
