Do not probe a server that is the only one of its group

Traced: with a single server that is silent, PathMonitor doubted the path and sent a health check, although one server's silence is no evidence and can't lead to a loss. Groups that cannot be lost are not probed any more. The parser of JSON objects, which stood twice since the hop between hosts, stands once.

--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -398,7 +398,8 @@
     return false;
   if (group.state == State::kLost)
     return true;
-  if (failing_.empty() && !IsSilent(id, group, now))
+  const bool can_be_lost = group.members.size() >= kMinServersOfSmallGroup;
+  if (!can_be_lost || (failing_.empty() && !IsSilent(id, group, now)))
     return false;
   const Evidence evidence = EvidenceOn(id, group, now);
   return evidence.silent > 0 || evidence.failing >= kMinServersOfSmallGroup;
--- a/src/comfreyvane/gateway/carried_codec.cc
+++ b/src/comfreyvane/gateway/carried_codec.cc
@@ -2,11 +2,10 @@
 
 #include <boost/beast/core/string.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <chrono>
-#include <exception>
 
+#include "comfreyvane/gateway/parsed_object.h"
 #include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/net/request_checks.h"
 
@@ -27,21 +26,6 @@
   return std::string(object.at(name).as_string());
 }
 
-/// @param read converts the object; throws if a field is missing or invalid.
-template <typename Result, typename Read>
-std::optional<Result> Parsed(std::string_view text, Read read) {
-  json::error_code error;
-  const json::value value = json::parse(text, error);
-  if (error || !value.is_object())
-    return std::nullopt;
-  try {
-    return read(value.as_object());
-  } catch (const std::exception&) {
-    // The caller logs an unreadable text.
-    return std::nullopt;
-  }
-}
-
 bool IsFraming(const http::fields::value_type& field) {
   return field.name() == http::field::content_length ||
          field.name() == http::field::transfer_encoding;
@@ -78,7 +62,7 @@
 }
 
 std::optional<CarriedMark> ParseCarriedMark(std::string_view text) {
-  return Parsed<CarriedMark>(text, [](const json::object& object) {
+  return ParsedObject<CarriedMark>(text, [](const json::object& object) {
     return CarriedMark{TextAt(object, "origin"),
                        NumberAt<std::uint64_t>(object, "origin_incarnation"),
                        NumberAt<std::uint64_t>(object, "sequence"),
@@ -101,7 +85,7 @@
 }
 
 std::optional<CarriedVerdict> ParseCarriedVerdict(std::string_view text) {
-  return Parsed<CarriedVerdict>(text, [](const json::object& object) {
+  return ParsedObject<CarriedVerdict>(text, [](const json::object& object) {
     CarriedVerdict verdict;
     switch (NumberAt<int>(object, "run")) {
       case static_cast<int>(RunState::kNotRun):
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -3,13 +3,14 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 #include <chrono>
 #include <limits>
 #include <stdexcept>
 
+#include "comfreyvane/gateway/parsed_object.h"
+
 namespace comfreyvane {
 namespace {
 
@@ -145,21 +146,6 @@
   return result;
 }
 
-/// Parses a JSON object.
-/// @param read converts the object; throws if a field is missing or invalid.
-template <typename Result, typename Read>
-std::optional<Result> Parsed(std::string_view text, Read read) {
-  boost::json::error_code error;
-  const json::value value = json::parse(text, error);
-  if (error || !value.is_object())
-    return std::nullopt;
-  try {
-    return read(value.as_object());
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 template <typename Rows>
 void AddPairs(json::object& object, std::string_view name, const Rows& rows) {
   if (!rows.empty())
@@ -180,7 +166,7 @@
 }
 
 std::optional<FleetHost> ParseFleetHost(std::string_view text) {
-  return Parsed<FleetHost>(text, [](const json::object& object) {
+  return ParsedObject<FleetHost>(text, [](const json::object& object) {
     return FleetHost{Text(object, "name"),
                      Text(object, "region"),
                      Text(object, "failure_domain"),
@@ -214,7 +200,7 @@
 }
 
 std::optional<Heartbeat> ParseHeartbeat(std::string_view text) {
-  return Parsed<Heartbeat>(text, [](const json::object& object) {
+  return ParsedObject<Heartbeat>(text, [](const json::object& object) {
     const auto amount = [](std::uint64_t id, double tokens) {
       return WorkspaceTokens{WorkspaceId(id), std::max(0.0, tokens)};
     };
--- a/tests/comfreyvane/edge/path_monitor_test.cc
+++ b/tests/comfreyvane/edge/path_monitor_test.cc
@@ -247,3 +247,15 @@
   cr_expect(!host.paths.is_disturbed());
   cr_expect(host.paths.Update(host.now).empty());
 }
+
+Test(path_monitor, a_single_server_is_not_probed) {
+  PathMonitor paths;
+  const BackendServerId server(1);
+  paths.OnListed(server, ServiceId(1), FailureDomainId(1));
+  paths.OnSent(server, kStart);
+  for (TimePoint now = kStart; now < kStart + seconds(5); now += kTick) {
+    cr_expect(paths.Update(now).empty());
+    cr_expect(
+        paths.TakeProbes([](BackendServerId) { return true; }, now).empty());
+  }
+}
