--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "comfreyvane/net/caller_exchange.h"
+#include "comfreyvane/net/clock.h"
 #include "comfreyvane/net/whole_body.h"
 
 namespace comfreyvane::testing {
@@ -28,7 +30,11 @@
   std::string last_workspace;
   std::string last_deadline;
   bool saw_key = false;
-  std::string limit;  ///< Requests/s that it names; empty: none.
+  std::string limit;     ///< Requests/s that it names; empty: none.
+  bool leaving = false;  ///< Says so in its answers.
+  /// Seconds for which it wants nothing; it sheds all requests. Empty: none.
+  std::string wait;
+  std::vector<TimePoint> arrivals;
   std::chrono::milliseconds work{0};  ///< Time that a run takes.
 
   template <typename Exchange>
@@ -41,9 +47,14 @@
     typename Exchange::Answer answer;
     answer.version(11);
     answer.set("X-Request-Id", id);
+    arrivals.push_back(MonotonicNow());
+    if (leaving)
+      answer.set("Server-Leaving", "1");
+    if (!wait.empty())
+      answer.set("Retry-After", wait);
     if (head["X-Expect-Instance"] != name_) {
       answer.result(421);
-    } else if (behaviour == "shed") {
+    } else if (behaviour == "shed" || !wait.empty()) {
       answer.result(503);
       answer.set("X-Not-Executed", "1");
     } else {
