--- a/tests/comfreyvane/edge/path_fleet_test.cc
+++ b/tests/comfreyvane/edge/path_fleet_test.cc
@@ -63,7 +63,7 @@
       fleet.ServedOf(fleet.Others(cut_hosts), began + kSettled, ended);
   const auto afterwards =
       fleet.ServedOf(fleet.Others({}), ended + kSettled, ended + seconds(6));
-  const int kind = static_cast<int>(cut);
+  [[maybe_unused]] const int kind = static_cast<int>(cut);
   cr_expect(there.share() >= kMinShareOfOthers * elsewhere.share(),
             "%zu hosts, cut %d: %.3f of %.0f there", hosts, kind, there.share(),
             there.sent);
