Say once which fields pass, how JSON fields are read, and how an attempt is cancelled

IsEndToEnd replaces two copies of a check of framing, half of which IsHopByHop made already; both heads for a next hop are built by one function; TextAt and NumberAt serve both codecs; the two kinds of attempt share Attempt::Cancel and the watch for the caller's close. Connect no longer returns what the attempt's connection says, and OnProbeAnswered no longer takes a time that it did not use.

--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -170,7 +170,7 @@
   failing_.insert(server);
 }
 
-void PathMonitor::OnProbeAnswered(BackendServerId server, TimePoint) {
+void PathMonitor::OnProbeAnswered(BackendServerId server) {
   const auto found = servers_.find(server);
   if (found == servers_.end())
     return;
--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -58,7 +58,7 @@
   void OnConnectFailed(BackendServerId server, TimePoint now);
   /// Records the answer to a probe, which uses a connection of its own, in
   /// addition to OnAnswered.
-  void OnProbeAnswered(BackendServerId server, TimePoint now);
+  void OnProbeAnswered(BackendServerId server);
 
   /// Records what another host reaches.
   void OnPeerReport(HostId peer,
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -60,6 +60,13 @@
 }  // namespace
 
 struct BackendClient::Attempt {
+  /// Ends the attempt, since the caller is gone.
+  void Cancel() {
+    is_cancelled = true;
+    if (connection)
+      connection->Cancel();
+  }
+
   const GatewayRequest& request;
   BackendServerId server{};  ///< Not set if a carrier gets the request.
   std::string code{};        ///< Authentication code sent to a carrier.
@@ -97,11 +104,7 @@
   const BackendState* const state = context_.backends.Find(server);
   if (state == nullptr)
     co_return std::move(attempt.result);
-  watch([&attempt] {
-    attempt.is_cancelled = true;
-    if (attempt.connection)
-      attempt.connection->Cancel();
-  });
+  watch([&attempt] { attempt.Cancel(); });
   running_.insert(&attempt);
   co_await SendToServer(attempt, head, state->entry());
   running_.erase(&attempt);
@@ -116,11 +119,7 @@
     std::function<void(std::function<void()>)> watch,
     std::function<void()> unwatch) {
   Attempt attempt{.request = request};
-  watch([&attempt] {
-    attempt.is_cancelled = true;
-    if (attempt.connection)
-      attempt.connection->Cancel();
-  });
+  watch([&attempt] { attempt.Cancel(); });
   co_await SendToCarrier(attempt, head, carrier);
   unwatch();
   co_return Finish(attempt);
@@ -148,13 +147,13 @@
   }
 }
 
-asio::awaitable<bool> BackendClient::Connect(Attempt& attempt,
+asio::awaitable<void> BackendClient::Connect(Attempt& attempt,
                                              std::string address,
                                              std::uint16_t port) {
   error_code error;
   const auto ip = asio::ip::make_address(address, error);
   if (error)
-    co_return false;
+    co_return;
   const TimePoint begun = MonotonicNow();
   attempt.connection = std::make_unique<BackendConnection>(io_, sweeper_);
   attempt.connection->AllowUnframedAnswers();
@@ -162,11 +161,10 @@
       {ip, port}, std::min(attempt.request.deadline, begun + kConnectTimeout));
   if (failure != ExchangeFailure::kNone) {
     attempt.connection.reset();
-    co_return false;
+    co_return;
   }
   const TimePoint now = MonotonicNow();
   context_.metrics.Record(LatencyName::kBackendConnect, now - begun, now);
-  co_return true;
 }
 
 asio::awaitable<void> BackendClient::SendToServer(Attempt& attempt,
@@ -178,11 +176,10 @@
   if (!attempt.connection) {
     if (context_.backends.ReachOf(server) != ServerReach::kDirect)
       co_return;
-    const bool is_connected =
-        co_await Connect(attempt, entry.address, entry.port);
-    if (!is_connected && !attempt.is_cancelled)
+    co_await Connect(attempt, entry.address, entry.port);
+    if (!attempt.connection && !attempt.is_cancelled)
       context_.paths.OnConnectFailed(server, MonotonicNow());
-    if (!is_connected)
+    if (!attempt.connection)
       co_return;
     context_.metrics.Count(CounterName::kBackendConnections);
     context_.paths.OnConnected(server, MonotonicNow());
@@ -214,8 +211,8 @@
   attempt.connection = carrier_pool_.Take(key, MonotonicNow());
   attempt.result.used_open_connection = attempt.connection != nullptr;
   if (!attempt.connection) {
-    static_cast<void>(co_await Connect(attempt, carrier.host.peer_address,
-                                       carrier.host.peer_port));
+    co_await Connect(attempt, carrier.host.peer_address,
+                     carrier.host.peer_port);
   }
   if (!attempt.connection || attempt.is_cancelled)
     co_return;
--- a/src/comfreyvane/gateway/backend_client.h
+++ b/src/comfreyvane/gateway/backend_client.h
@@ -82,8 +82,8 @@
  private:
   struct Attempt;
 
-  /// @return whether the attempt has a connection.
-  [[nodiscard]] asio::awaitable<bool> Connect(Attempt& attempt,
+  /// Opens a connection for the attempt; it has none afterwards if that fails.
+  [[nodiscard]] asio::awaitable<void> Connect(Attempt& attempt,
                                               std::string address,
                                               std::uint16_t port);
   /// Sends the request to a server, over a new connection if none is idle.
@@ -97,7 +97,7 @@
   [[nodiscard]] asio::awaitable<void> Send(Attempt& attempt, RequestHead head);
   /// Adds the mark and its authentication code to the head for a carrier.
   void AddMark(Attempt& attempt, const Carrier& carrier, RequestHead& head);
-  /// Tells PathMonitor how an attempt at a server ended.
+  /// Reports to PathMonitor how an attempt at a server ended.
   void RecordPath(const Attempt& attempt, BackendServerId server);
   /// @return the result of an attempt that has ended.
   [[nodiscard]] static CallResult Finish(Attempt& attempt);
--- a/src/comfreyvane/gateway/carried_codec.cc
+++ b/src/comfreyvane/gateway/carried_codec.cc
@@ -17,20 +17,6 @@
 
 constexpr std::string_view kStamp = "carried-request";
 
-template <typename Number>
-Number NumberAt(const json::object& object, std::string_view name) {
-  return object.at(name).to_number<Number>();
-}
-
-std::string TextAt(const json::object& object, std::string_view name) {
-  return std::string(object.at(name).as_string());
-}
-
-bool IsFraming(const http::fields::value_type& field) {
-  return field.name() == http::field::content_length ||
-         field.name() == http::field::transfer_encoding;
-}
-
 /// @return the text that the code is computed over: whatever changes on the way
 ///     between two hosts is left out.
 std::string SignedText(const http::request_header<>& head,
@@ -38,7 +24,7 @@
   std::string text(head.method_string());
   text.append(" ").append(head.target()).append("\n");
   for (const auto& field : head) {
-    if (IsFraming(field) || IsHopByHop(head, field) ||
+    if (!IsEndToEnd(head, field) ||
         boost::beast::iequals(field.name_string(), kCarriedCodeField))
       continue;
     text.append(field.name_string()).append(":").append(field.value());
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -16,10 +16,6 @@
 
 namespace json = boost::json;
 
-std::string Text(const json::object& object, std::string_view name) {
-  return std::string(object.at(name).as_string());
-}
-
 template <typename Number>
 Number NumberOf(const json::value& value) {
   return value.to_number<Number>();
@@ -167,13 +163,13 @@
 
 std::optional<FleetHost> ParseFleetHost(std::string_view text) {
   return ParsedObject<FleetHost>(text, [](const json::object& object) {
-    return FleetHost{Text(object, "name"),
-                     Text(object, "region"),
-                     Text(object, "failure_domain"),
-                     Text(object, "caller_address"),
-                     Text(object, "peer_address"),
-                     NumberOf<std::uint16_t>(object.at("peer_port")),
-                     NumberOf<double>(object.at("processor_share"))};
+    return FleetHost{TextAt(object, "name"),
+                     TextAt(object, "region"),
+                     TextAt(object, "failure_domain"),
+                     TextAt(object, "caller_address"),
+                     TextAt(object, "peer_address"),
+                     NumberAt<std::uint16_t>(object, "peer_port"),
+                     NumberAt<double>(object, "processor_share")};
   });
 }
 
@@ -205,9 +201,9 @@
       return WorkspaceTokens{WorkspaceId(id), std::max(0.0, tokens)};
     };
     Heartbeat heartbeat;
-    heartbeat.host = Text(object, "host");
-    heartbeat.incarnation = NumberOf<std::uint64_t>(object.at("incarnation"));
-    heartbeat.sequence = NumberOf<std::uint64_t>(object.at("sequence"));
+    heartbeat.host = TextAt(object, "host");
+    heartbeat.incarnation = NumberAt<std::uint64_t>(object, "incarnation");
+    heartbeat.sequence = NumberAt<std::uint64_t>(object, "sequence");
     heartbeat.leaving = object.contains("leaving");
     if (object.contains("use")) {
       heartbeat.use = ReadPairs<std::uint32_t>(
@@ -226,7 +222,7 @@
     heartbeat.paths = ReadPaths(object);
     if (heartbeat.paths) {
       heartbeat.loop_delay = std::chrono::milliseconds(
-          NumberOf<std::uint32_t>(object.at("delay_ms")));
+          NumberAt<std::uint32_t>(object, "delay_ms"));
     }
     return heartbeat;
   });
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -68,6 +68,19 @@
     std::optional<HostId> carrier{};
   };
 
+  /// @return a function that calls another if the caller closes.
+  template <typename Exchange>
+  [[nodiscard]] static auto WatchOf(Exchange& exchange) {
+    return [&exchange](std::function<void()> on_closed) {
+      exchange.WatchForClose(std::move(on_closed));
+    };
+  }
+  /// @return a function that ends the watch.
+  template <typename Exchange>
+  [[nodiscard]] static auto UnwatchOf(Exchange& exchange) {
+    return [&exchange] { exchange.StopWatching(); };
+  }
+
   /// Serves a request and writes the answer or the refusal.
   template <typename Exchange>
   asio::awaitable<bool> Respond(Exchange& exchange, GatewayRequest& request);
@@ -334,10 +347,8 @@
 asio::awaitable<std::optional<Refusal>> GatewayHandler::RunAttempts(
     Exchange& exchange,
     GatewayRequest& request) {
-  const auto watch = [&exchange](std::function<void()> on_closed) {
-    exchange.WatchForClose(std::move(on_closed));
-  };
-  const auto unwatch = [&exchange] { exchange.StopWatching(); };
+  const auto watch = WatchOf(exchange);
+  const auto unwatch = UnwatchOf(exchange);
   std::uint32_t connect_failures = 0;
   RunState run_state = RunState::kNotRun;
   while (true) {
@@ -389,10 +400,8 @@
     Exchange& exchange,
     GatewayRequest& request,
     const BackendChoice& choice) {
-  const auto watch = [&exchange](std::function<void()> on_closed) {
-    exchange.WatchForClose(std::move(on_closed));
-  };
-  const auto unwatch = [&exchange] { exchange.StopWatching(); };
+  const auto watch = WatchOf(exchange);
+  const auto unwatch = UnwatchOf(exchange);
   const TimePoint begun = MonotonicNow();
   AttemptEnd end;
   end.server = choice.server;
@@ -410,10 +419,8 @@
     Exchange& exchange,
     GatewayRequest& request,
     const Carrier& carrier) {
-  const auto watch = [&exchange](std::function<void()> on_closed) {
-    exchange.WatchForClose(std::move(on_closed));
-  };
-  const auto unwatch = [&exchange] { exchange.StopWatching(); };
+  const auto watch = WatchOf(exchange);
+  const auto unwatch = UnwatchOf(exchange);
   const TimePoint begun = MonotonicNow();
   const HostId host = carrier.host.id();
   context_.carriers.OnStarted(host);
--- a/src/comfreyvane/gateway/message_heads.cc
+++ b/src/comfreyvane/gateway/message_heads.cc
@@ -23,25 +23,41 @@
   return boost::beast::iequals(a, b);
 }
 
-bool IsFraming(const http::fields::value_type& field) {
-  return field.name() == http::field::content_length ||
-         field.name() == http::field::transfer_encoding;
-}
-
 /// @return whether only hosts send the field, to each other.
 bool IsOfHosts(std::string_view name) {
   return Equals(name, kCarriedMarkField) ||
          Equals(name, kCarriedVerdictField) || Equals(name, kCarriedCodeField);
 }
 
-void SetLength(const http::request_header<>& head,
-               const GatewayRequest& request,
-               http::request_header<>& result) {
+std::string_view View(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+/// @param is_dropped whether a field of the caller is left out.
+/// @return the head that any next hop gets, without a deadline.
+template <typename IsDropped>
+http::request_header<> ForwardedHead(const http::request_header<>& head,
+                                     const GatewayRequest& request,
+                                     const HeaderNames& names,
+                                     IsDropped is_dropped) {
+  http::request_header<> result;
+  result.version(kHttp11);
+  result.method_string(head.method_string());
+  result.target(head.target());
+  for (const auto& field : head) {
+    const std::string_view name = View(field.name_string());
+    const bool is_replaced = Equals(name, names.deadline_ms) ||
+                             field.name() == http::field::expect ||
+                             IsOfHosts(name);
+    if (!is_replaced && IsEndToEnd(head, field) && !is_dropped(field))
+      result.insert(field.name(), field.name_string(), field.value());
+  }
   const bool had_body = head.count(http::field::content_length) > 0 ||
                         head.count(http::field::transfer_encoding) > 0;
   if (had_body || !request.body.empty())
     result.set(http::field::content_length,
                std::to_string(request.body.size()));
+  return result;
 }
 
 std::string MillisecondsText(Duration span) {
@@ -74,26 +90,17 @@
                                      std::string_view server,
                                      Duration remaining,
                                      const HeaderNames& names) {
-  http::request_header<> result;
-  result.version(kHttp11);
-  result.method_string(head.method_string());
-  result.target(head.target());
-  for (const auto& field : head) {
-    const std::string_view name(field.name_string().data(),
-                                field.name_string().size());
-    const bool is_replaced =
-        Equals(name, names.deadline_ms) || Equals(name, names.workspace) ||
-        Equals(name, names.expected_server) ||
-        field.name() == http::field::authorization ||
-        field.name() == http::field::expect || IsOfHosts(name);
-    const std::string_view value(field.value().data(), field.value().size());
-    const bool holds_key = !request.key.empty() &&
-                           value.find(request.key) != std::string_view::npos;
-    if (!is_replaced && !holds_key && !IsFraming(field) &&
-        !IsHopByHop(head, field))
-      result.insert(field.name(), field.name_string(), field.value());
-  }
-  SetLength(head, request, result);
+  const auto is_dropped = [&](const http::fields::value_type& field) {
+    const std::string_view name = View(field.name_string());
+    const bool holds_key =
+        !request.key.empty() &&
+        View(field.value()).find(request.key) != std::string_view::npos;
+    return holds_key || Equals(name, names.workspace) ||
+           Equals(name, names.expected_server) ||
+           field.name() == http::field::authorization;
+  };
+  http::request_header<> result =
+      ForwardedHead(head, request, names, is_dropped);
   if (request.workspace != nullptr)
     result.set(names.workspace, request.workspace->name);
   result.set(names.expected_server, server);
@@ -105,20 +112,9 @@
                                      const GatewayRequest& request,
                                      Duration remaining,
                                      const HeaderNames& names) {
-  http::request_header<> result;
-  result.version(kHttp11);
-  result.method_string(head.method_string());
-  result.target(head.target());
-  for (const auto& field : head) {
-    const std::string_view name(field.name_string().data(),
-                                field.name_string().size());
-    const bool is_replaced = Equals(name, names.deadline_ms) ||
-                             field.name() == http::field::expect ||
-                             IsOfHosts(name);
-    if (!is_replaced && !IsFraming(field) && !IsHopByHop(head, field))
-      result.insert(field.name(), field.name_string(), field.value());
-  }
-  SetLength(head, request, result);
+  http::request_header<> result =
+      ForwardedHead(head, request, names,
+                    [](const http::fields::value_type&) { return false; });
   result.set(names.deadline_ms, MillisecondsText(remaining));
   return result;
 }
@@ -126,7 +122,7 @@
 void CopyAnswerFields(const http::response_header<>& from,
                       http::response_header<>& to) {
   for (const auto& field : from) {
-    if (!IsFraming(field) && !IsHopByHop(from, field))
+    if (IsEndToEnd(from, field))
       to.insert(field.name(), field.name_string(), field.value());
   }
 }
--- a/src/comfreyvane/gateway/parsed_object.h
+++ b/src/comfreyvane/gateway/parsed_object.h
@@ -7,10 +7,24 @@
 #include <boost/json/parse.hpp>
 #include <exception>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace comfreyvane {
 
+/// @throws std::exception if the field is missing or no text.
+[[nodiscard]] inline std::string TextAt(const boost::json::object& object,
+                                        std::string_view name) {
+  return std::string(object.at(name).as_string());
+}
+
+/// @throws std::exception if the field is missing or does not fit the number.
+template <typename Number>
+[[nodiscard]] Number NumberAt(const boost::json::object& object,
+                              std::string_view name) {
+  return object.at(name).to_number<Number>();
+}
+
 /// Parses a JSON object.
 /// @param read converts the object; throws if a field is missing or invalid.
 /// @return nothing if the text is no such object.
--- a/src/comfreyvane/gateway/path_supervisor.cc
+++ b/src/comfreyvane/gateway/path_supervisor.cc
@@ -110,7 +110,7 @@
   const TimePoint now = MonotonicNow();
   if (is_answered) {
     context_.paths.OnAnswered(server, now);
-    context_.paths.OnProbeAnswered(server, now);
+    context_.paths.OnProbeAnswered(server);
   } else {
     context_.paths.OnUnanswered(server);
   }
--- a/src/comfreyvane/net/request_checks.cc
+++ b/src/comfreyvane/net/request_checks.cc
@@ -129,4 +129,10 @@
   });
 }
 
+bool IsEndToEnd(const http::fields& fields,
+                const http::fields::value_type& field) {
+  return field.name() != http::field::content_length &&
+         !IsHopByHop(fields, field);
+}
+
 }  // namespace comfreyvane
--- a/src/comfreyvane/net/request_checks.h
+++ b/src/comfreyvane/net/request_checks.h
@@ -29,6 +29,12 @@
     const boost::beast::http::fields& fields,
     const boost::beast::http::fields::value_type& field);
 
+/// @return whether a field is passed on as it is, since it concerns neither one
+///     connection nor the framing of the body.
+[[nodiscard]] bool IsEndToEnd(
+    const boost::beast::http::fields& fields,
+    const boost::beast::http::fields::value_type& field);
+
 }  // namespace comfreyvane
 
 #endif  // COMFREYVANE_NET_REQUEST_CHECKS_H_
--- a/tests/comfreyvane/edge/path_monitor_test.cc
+++ b/tests/comfreyvane/edge/path_monitor_test.cc
@@ -90,7 +90,7 @@
       return;
     paths.OnConnected(server, now);
     paths.OnAnswered(server, now);
-    paths.OnProbeAnswered(server, now);
+    paths.OnProbeAnswered(server);
   }
 
   TimePoint next_tick_{};
@@ -232,7 +232,7 @@
   MonitoredHost host;
   host.SetReached(false);
   host.Run(seconds(2));
-  host.paths.OnProbeAnswered(MonitoredHost::Server(4), host.now);
+  host.paths.OnProbeAnswered(MonitoredHost::Server(4));
   host.Wait(seconds(1));
   cr_expect(host.changes.back().kind == PathChange::Kind::kLost);
 }
--- a/tests/support/path_fleet.h
+++ b/tests/support/path_fleet.h
@@ -290,7 +290,7 @@
       if (cut == Cut::kNone) {
         paths.OnConnected(ServerId(server), now_);
         paths.OnAnswered(ServerId(server), now_);
-        paths.OnProbeAnswered(ServerId(server), now_);
+        paths.OnProbeAnswered(ServerId(server));
       } else {
         paths.OnConnectFailed(ServerId(server), now_);
         paths.OnUnanswered(ServerId(server));
