Tests: one set of links between a host and the rest for the soak and stranded hosts

HostLinks holds the proxies and the store's view that both fleets had built by hand; Served, RunOn and FetchRaw replace copies in both deployments, and the configuration of stranded hosts is derived from that of the others. No check or bound changes.

--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -7,7 +7,6 @@
 #include <unistd.h>
 
 #include <functional>
-#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -15,11 +14,13 @@
 
 #include "comfreyvane/gateway/gateway_process.h"
 #include "platform/gateway_platform.h"
+#include "platform/served.h"
 #include "platform/server_standin.h"
 #include "platform/store_standin.h"
 #include "support/criterion.h"
 #include "support/free_port.h"
 #include "support/loopback_edge.h"
+#include "support/run_on.h"
 
 namespace comfreyvane::testing {
 
@@ -53,22 +54,6 @@
          R"("ColdRemainingMs":0},"born":1})";
 }
 
-/// Listener on loopback that serves a stand-in.
-template <typename Handler>
-struct Served {
-  Served(asio::io_context& io, TimeoutSweeper& sweeper, Handler& handler)
-      : listener(io,
-                 {asio::ip::address_v4::loopback(), 0},
-                 PortSharing::kExclusive,
-                 nullptr,
-                 sweeper,
-                 HttpLimits{},
-                 handler) {
-    listener.Start();
-  }
-  CallerListener<Handler> listener;
-};
-
 /// Two stand-in backend servers and a stand-in store on one thread, and
 /// gateways of one failure domain with a thread each.
 class Deployment {
@@ -109,10 +94,8 @@
   /// @return all bytes received until the connection is closed.
   [[nodiscard]] std::string Fetch(const Endpoint& endpoint,
                                   const std::string& text) {
-    RawClient client(
-        tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
-    client.Send(text);
-    return client.ReceiveAll();
+    return FetchRaw({asio::ip::make_address(endpoint.address), endpoint.port},
+                    text);
   }
 
   [[nodiscard]] std::string Request(const std::string& path,
@@ -130,14 +113,7 @@
   }
 
   /// Runs a function on the stand-ins' thread and waits for it.
-  void OnStandins(const std::function<void()>& change) {
-    std::promise<void> done;
-    asio::post(io_, [&] {
-      change();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
+  void OnStandins(const std::function<void()>& change) { RunOn(io_, change); }
 
   /// Stops a gateway and waits until it has exited.
   void StopGateway(std::size_t gateway) {
--- a/tests/platform/stranded_configuration.h
+++ b/tests/platform/stranded_configuration.h
@@ -3,26 +3,27 @@
 #ifndef TESTS_PLATFORM_STRANDED_CONFIGURATION_H_
 #define TESTS_PLATFORM_STRANDED_CONFIGURATION_H_
 
+#include <string>
+
+#include "platform/deployment.h"
+
 namespace comfreyvane::testing {
 
-/// A route of idempotent requests, one of others, and one whose requests may
-/// run in the first region only.
-inline const char* const kStrandedConfiguration =
-    R"({"Version":"00000001","Resources":[)"
-    R"({"ResourceKind":"Routes","Metadata":{"Name":"reads"},"Spec":{)"
-    R"("Host":"h","Prefix":"/r/","Kind":"idempotent","TimeoutMs":2000,)"
-    R"("TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":2}},)"
-    R"({"ResourceKind":"Routes","Metadata":{"Name":"writes"},"Spec":{)"
-    R"("Host":"h","Prefix":"/w/","Kind":"non_idempotent","TimeoutMs":2000,)"
-    R"("TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":2}},)"
-    R"({"ResourceKind":"Routes","Metadata":{"Name":"homed"},"Spec":{)"
-    R"("Host":"h","Prefix":"/h/","Kind":"non_idempotent","TimeoutMs":2000,)"
-    R"("AllowedRegions":["region-0"],)"
-    R"("TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":2}},)"
-    R"({"ResourceKind":"Services","Metadata":{"Name":"s"},"Spec":{)"
-    R"("HealthPath":"/health","MaxConnections":330,"ColdStartS":3.0,)"
-    R"("ColdPerS":8.9}},{"ResourceKind":"Tenants","Metadata":{"Name":"kandy"},)"
-    R"("Spec":{"ApiKeys":["k1"],"RatePerS":5000,"Burst":5000}}]})";
+/// @return kConfiguration with a route whose requests may run in the first
+///     region only, and a limit that the tests do not reach.
+inline std::string StrandedConfiguration() {
+  std::string text = kConfiguration;
+  const std::string services = R"({"ResourceKind":"Services")";
+  text.insert(
+      text.find(services),
+      R"({"ResourceKind":"Routes","Metadata":{"Name":"homed"},"Spec":{)"
+      R"("Host":"h","Prefix":"/h/","Kind":"non_idempotent","TimeoutMs":2000,)"
+      R"("AllowedRegions":["region-0"],)"
+      R"("TargetLatencyMs":500,"Priority":1,"Service":"s","MaxAttempts":2}},)");
+  const std::string limit = R"("RatePerS":1000,"Burst":1000)";
+  return text.replace(text.find(limit), limit.size(),
+                      R"("RatePerS":5000,"Burst":5000)");
+}
 
 }  // namespace comfreyvane::testing
 
--- a/tests/platform/stranded_fleet.h
+++ b/tests/platform/stranded_fleet.h
@@ -6,9 +6,7 @@
 
 #include <unistd.h>
 
-#include <boost/asio/post.hpp>
 #include <functional>
-#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -17,13 +15,14 @@
 
 #include "comfreyvane/gateway/gateway_process.h"
 #include "platform/gateway_platform.h"
+#include "platform/served.h"
 #include "platform/server_standin.h"
 #include "platform/store_standin.h"
-#include "platform/store_view.h"
 #include "platform/stranded_configuration.h"
-#include "soak/fault_proxy.h"
+#include "soak/host_links.h"
 #include "support/free_port.h"
 #include "support/loopback_edge.h"
+#include "support/run_on.h"
 
 namespace comfreyvane::testing {
 
@@ -35,7 +34,7 @@
   StrandedFleet(std::size_t hosts, std::size_t servers)
       : sweeper_(io_), store_(io_) {
     sweeper_.Start();
-    store_.Put("op", "config", kStrandedConfiguration);
+    store_.Put("op", "config", StrandedConfiguration());
     for (std::size_t i = 0; i < servers; ++i)
       AddServer(i, hosts);
     for (std::size_t i = 0; i < hosts; ++i)
@@ -68,16 +67,10 @@
 
   /// Cuts a host from all backend servers.
   void Cut(std::size_t host, soak::CutKind kind) {
-    OnStandins([&] {
-      for (const auto& proxy : hosts_[host]->paths)
-        proxy->Cut(kind);
-    });
+    OnStandins([&] { hosts_[host]->links->Cut(kind); });
   }
   void Restore(std::size_t host) {
-    OnStandins([&] {
-      for (const auto& proxy : hosts_[host]->paths)
-        proxy->Restore();
-    });
+    OnStandins([&] { hosts_[host]->links->Restore(); });
   }
 
   /// @return how often a request ran, over all servers.
@@ -100,11 +93,9 @@
   /// @return requests that a host has carried for others.
   [[nodiscard]] int CarriedBy(std::size_t host) const {
     const std::string name = "\ncomfreyvane_carried_for_peers_total ";
-    RawClient client({asio::ip::address_v4::loopback(),
-                      hosts_[host]->settings.lookups.port});
-    client.Send(
+    const std::string text = FetchRaw(
+        {asio::ip::address_v4::loopback(), hosts_[host]->settings.lookups.port},
         "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-    const std::string text = client.ReceiveAll();
     const auto found = text.find(name);
     return found == std::string::npos
                ? -1
@@ -121,26 +112,18 @@
 
  private:
   using Gateway = GatewayProcess<platform::GatewayPlatform>;
-  template <typename Handler>
-  using Listener = CallerListener<Handler>;
+
+  /// Time that a request runs at a server.
+  static constexpr std::chrono::milliseconds kWork{20};
 
   struct Server {
     Server(asio::io_context& io, TimeoutSweeper& sweeper, std::string name)
-        : standin(io, std::move(name)),
-          listener(io,
-                   {asio::ip::address_v4::loopback(), 0},
-                   PortSharing::kExclusive,
-                   nullptr,
-                   sweeper,
-                   HttpLimits{},
-                   standin) {
+        : standin(io, std::move(name)), served(io, sweeper, standin) {
       standin.work = kWork;
-      listener.Start();
     }
-    static constexpr std::chrono::milliseconds kWork{20};
 
     ServerStandin standin;
-    Listener<ServerStandin> listener;
+    Served<ServerStandin> served;
   };
 
   struct Host {
@@ -156,9 +139,7 @@
 
     GatewaySettings settings;
     std::uint64_t incarnation = 0;
-    std::vector<std::unique_ptr<soak::FaultProxy>> paths;  ///< By server.
-    std::unique_ptr<StoreView> view;
-    std::unique_ptr<Listener<StoreView>> store_listener;
+    std::unique_ptr<soak::HostLinks> links;
     BoundedOutput output{STDERR_FILENO, 1024};
     std::unique_ptr<Gateway> gateway;
     std::thread thread;
@@ -175,8 +156,9 @@
     const std::string name = "i-" + std::to_string(number);
     servers_.push_back(std::make_unique<Server>(io_, sweeper_, name));
     store_.Put("servers", name,
-               R"({"Address":"127.0.0.1:0","Info":{"Service":"s",)"
-               R"("Version":"v1","Zone":")" +
+               R"({"Address":")" + std::string(kViewedPort) +
+                   R"(","Info":{"Service":"s",)"
+                   R"("Version":"v1","Zone":")" +
                    DomainOf(number % domains) +
                    R"(","Slots":8},"Status":{"State":"ready","Seq":1,)"
                    R"("ColdRemainingMs":0},"born":1})");
@@ -184,18 +166,11 @@
 
   void AddHost(std::size_t number, std::size_t hosts) {
     auto host = std::make_unique<Host>();
-    for (const auto& server : servers_) {
-      host->paths.push_back(std::make_unique<soak::FaultProxy>(
-          io_, server->listener.local_endpoint().port()));
-    }
-    host->view = std::make_unique<StoreView>(
-        store_, [paths = &host->paths](std::size_t server) {
-          return (*paths)[server]->port();
-        });
-    host->store_listener = std::make_unique<Listener<StoreView>>(
-        io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0),
-        PortSharing::kExclusive, nullptr, sweeper_, HttpLimits{}, *host->view);
-    host->store_listener->Start();
+    std::vector<std::uint16_t> ports;
+    for (const auto& server : servers_)
+      ports.push_back(server->served.port());
+    host->links =
+        std::make_unique<soak::HostLinks>(io_, sweeper_, store_, ports);
     GatewaySettings& settings = host->settings;
     settings.name = "edge-" + std::to_string(number);
     settings.failure_domain = DomainOf(number);
@@ -205,21 +180,13 @@
     for (Endpoint* endpoint : {&settings.callers, &settings.readiness,
                                &settings.lookups, &settings.peers})
       *endpoint = {"127.0.0.1", FreePort()};
-    settings.platform = {"127.0.0.1",
-                         host->store_listener->local_endpoint().port()};
+    settings.platform = {"127.0.0.1", host->links->store_port()};
     host->incarnation = number + 1;
     hosts_.push_back(std::move(host));
   }
 
   /// Runs a function on the stand-ins' thread and waits for it.
-  void OnStandins(const std::function<void()>& change) {
-    std::promise<void> done;
-    asio::post(io_, [&] {
-      change();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
+  void OnStandins(const std::function<void()>& change) { RunOn(io_, change); }
 
   asio::io_context io_{1};
   TimeoutSweeper sweeper_;
--- a/tests/platform/stranded_hosts_test.cc
+++ b/tests/platform/stranded_hosts_test.cc
@@ -92,9 +92,9 @@
               .id = name + std::to_string(i),
               .repeatable = i % 2 == 0,
               .sent = MonotonicNow()};
-      RawClient client(fleet_.callers(host));
-      client.Send(RequestText(one.repeatable ? "/r/" : "/w/", one.id));
-      one.answer = client.ReceiveAll();
+      one.answer =
+          FetchRaw(fleet_.callers(host),
+                   RequestText(one.repeatable ? "/r/" : "/w/", one.id));
       {
         const std::lock_guard lock(mutex_);
         tries_.push_back(one);
@@ -172,9 +172,7 @@
 std::string Fetch(StrandedFleet& fleet,
                   std::size_t host,
                   const std::string& text) {
-  RawClient client(fleet.callers(host));
-  client.Send(text);
-  return client.ReceiveAll();
+  return FetchRaw(fleet.callers(host), text);
 }
 
 /// Cuts hosts and sends reads until each has noticed.
@@ -284,10 +282,9 @@
   cr_assert(!secret.empty());
   const auto send = [&](const CarriedMark& mark, const std::string& id,
                         const std::string& key) {
-    RawClient client(tcp::endpoint(asio::ip::address_v4::loopback(),
-                                   fleet.settings(2).peers.port));
-    client.Send(CarriedText(mark, id, key));
-    return client.ReceiveAll();
+    return FetchRaw(
+        {asio::ip::address_v4::loopback(), fleet.settings(2).peers.port},
+        CarriedText(mark, id, key));
   };
   // Incarnations are the hosts' numbers, from 1 on.
   const CarriedMark mark{"edge-0", 1,          1'000'000,          "edge-2",
@@ -313,10 +310,9 @@
   CutUntilNoticed(fleet, {0, 1});
   const CarriedMark mark{"edge-0", 1,          1'000'000,          "edge-1",
                          2,        "region-0", ServiceId::Of("s"), 0};
-  RawClient client(tcp::endpoint(asio::ip::address_v4::loopback(),
-                                 fleet.settings(1).peers.port));
-  client.Send(CarriedText(mark, "hop", fleet.Secret()));
-  const std::string answer = client.ReceiveAll();
+  const std::string answer =
+      FetchRaw({asio::ip::address_v4::loopback(), fleet.settings(1).peers.port},
+               CarriedText(mark, "hop", fleet.Secret()));
   cr_expect(answer.starts_with("HTTP/1.1 503"), "%s", answer.c_str());
   cr_expect(answer.find(kCarriedVerdictField) != std::string::npos);
   cr_expect(fleet.RunsOf("hop") == 0);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -106,20 +106,11 @@
   const std::string name = "edge-" + std::to_string(number + 1);
   host.caller_port = testing::FreePort();
   host.settings_file = (folder_ / (name + ".ini")).string();
-  for (const Server& server : servers_) {
-    host.server_paths.push_back(
-        std::make_unique<FaultProxy>(io_, server.path->port()));
-  }
-  host.view = std::make_unique<testing::StoreView>(
-      store_, [this, number](std::size_t server) {
-        return hosts_[number].server_paths[server]->port();
-      });
-  host.view_listener = std::make_unique<CallerListener<testing::StoreView>>(
-      io_, AnyPort(), PortSharing::kExclusive, nullptr, sweeper_, HttpLimits{},
-      *host.view);
-  host.view_listener->Start();
-  host.store_path = std::make_unique<FaultProxy>(
-      io_, host.view_listener->local_endpoint().port());
+  std::vector<std::uint16_t> ports;
+  for (const Server& server : servers_)
+    ports.push_back(server.path->port());
+  host.links = std::make_unique<HostLinks>(io_, sweeper_, store_, ports);
+  host.store_path = std::make_unique<FaultProxy>(io_, host.links->store_port());
   const std::string domain =
       own_domains ? "west-" + std::to_string(number) : DomainOf(number);
   const auto listen = [](const char* key, std::uint16_t port) {
@@ -168,17 +159,11 @@
 }
 
 void SoakFleet::CutFromServers(std::size_t host, CutKind kind) {
-  Post([this, host, kind] {
-    for (const auto& path : hosts_[host].server_paths)
-      path->Cut(kind);
-  });
+  Post([this, host, kind] { hosts_[host].links->Cut(kind); });
 }
 
 void SoakFleet::RestoreServers(std::size_t host) {
-  Post([this, host] {
-    for (const auto& path : hosts_[host].server_paths)
-      path->Restore();
-  });
+  Post([this, host] { hosts_[host].links->Restore(); });
 }
 
 void SoakFleet::SetServerPath(std::size_t server, ProxyMode mode) {
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -15,9 +15,9 @@
 #include "comfreyvane/net/caller_listener.h"
 #include "comfreyvane/net/timeout_sweeper.h"
 #include "platform/store_standin.h"
-#include "platform/store_view.h"
 #include "processes/child_process.h"
 #include "soak/fault_proxy.h"
+#include "soak/host_links.h"
 #include "soak/soak_server.h"
 
 namespace comfreyvane::soak {
@@ -74,9 +74,7 @@
   struct Host {
     std::uint16_t caller_port = 0;
     std::string settings_file;
-    std::vector<std::unique_ptr<FaultProxy>> server_paths;
-    std::unique_ptr<testing::StoreView> view;
-    std::unique_ptr<CallerListener<testing::StoreView>> view_listener;
+    std::unique_ptr<HostLinks> links;
     std::unique_ptr<FaultProxy> store_path;
     std::unique_ptr<processes::ChildProcess> process;
   };
--- a/tests/support/loopback_edge.h
+++ b/tests/support/loopback_edge.h
@@ -164,6 +164,15 @@
   tcp::socket socket_;
 };
 
+/// Sends a text over a connection of its own.
+/// @return all that comes until the listener closes.
+[[nodiscard]] inline std::string FetchRaw(const tcp::endpoint& endpoint,
+                                          std::string_view text) {
+  RawClient client(endpoint);
+  client.Send(text);
+  return client.ReceiveAll();
+}
+
 }  // namespace comfreyvane::testing
 
 #endif  // TESTS_SUPPORT_LOOPBACK_EDGE_H_
