Split the evidence from the states of PathMonitor, and reword four comments

The step of the probes' rotation uses the number of probes, which it always meant, in place of another constant of the same value.

--- a/src/comfreyvane/edge/carrier.h
+++ b/src/comfreyvane/edge/carrier.h
@@ -11,11 +11,11 @@
 
 namespace comfreyvane {
 
-/// A host that has been chosen to carry a request, and what led to the choice.
+/// A host selected to carry a request, and the evidence for the selection.
 struct Carrier {
   FleetHost host;
   std::uint64_t incarnation = 0;
-  PathGroup group;        ///< That the chosen host reaches.
+  PathGroup group;        ///< That the host reaches.
   Duration report_age{};  ///< Age of its report that it does.
 
   friend bool operator==(const Carrier&, const Carrier&) = default;
--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -5,47 +5,15 @@
 namespace comfreyvane {
 namespace {
 
-/// Number of servers whose failure counts as a lost path, or all of a smaller
-/// group. One server's failure never does.
-constexpr std::size_t kMinServers = 3;
-constexpr std::size_t kMinServersOfSmallGroup = 2;
-
 /// Number of servers that have to answer probes before a path counts as back.
 constexpr std::size_t kMinProbed = 2;
 
-/// Time without any answer of a group, as a multiple of the mean time between
-/// its answers, after which the group counts as silent. With answers at random
-/// times, such a pause has a probability of 6e-6.
-constexpr double kSilenceFactor = 12.0;
-constexpr Duration kMinSilence = std::chrono::milliseconds(300);
-constexpr Duration kMaxSilence = std::chrono::seconds(2);
-/// The same for all servers together after an idle time.
-constexpr Duration kMaxFirstSilence = std::chrono::seconds(1);
-
 /// Assumed time between answers before there are samples, and gain of the
 /// moving average.
 constexpr Duration kInitialGap = std::chrono::milliseconds(200);
 constexpr Duration kMaxGap = std::chrono::seconds(1);
 constexpr double kGapGain = 0.05;
 
-/// Time without an answer after which one server counts as silent. Longer than
-/// a round trip between regions and the wait for a slot.
-constexpr Duration kServerSilence = std::chrono::milliseconds(250);
-
-/// Time without answers to requests and probes, after which a host does not
-/// expect any even if no other host has answers.
-constexpr Duration kLoneSilence = std::chrono::seconds(1);
-
-/// Time within which the connects of probes succeed if there is a path: two
-/// round trips between regions.
-constexpr Duration kProbeConnectTime = std::chrono::milliseconds(100);
-
-/// Time for which failed connects, lost connections and other hosts' answers
-/// are evidence.
-constexpr Duration kConnectMemory = std::chrono::milliseconds(1500);
-constexpr Duration kSuspicionMemory = std::chrono::milliseconds(500);
-constexpr Duration kWitnessMemory = std::chrono::seconds(1);
-
 /// Maximum age of answers that a host reports to others.
 constexpr Duration kMaxReportAge = std::chrono::seconds(2);
 
@@ -58,10 +26,6 @@
 /// that have not been read yet.
 constexpr Duration kMaxUpdateGap = std::chrono::milliseconds(200);
 
-bool IsWithin(TimePoint event, Duration memory, TimePoint now) {
-  return event != TimePoint{} && now - event < memory;
-}
-
 }  // namespace
 
 void PathMonitor::OnListed(BackendServerId server,
@@ -215,14 +179,6 @@
   return changes;
 }
 
-void PathMonitor::ForgetFailures(TimePoint now) {
-  std::erase_if(failing_, [&](BackendServerId server) {
-    Server& record = servers_.at(server);
-    return !IsWithin(record.connect_failed_at, kConnectMemory, now) &&
-           !IsWithin(record.connection_lost_at, kSuspicionMemory, now);
-  });
-}
-
 std::optional<PathChange> PathMonitor::Judge(const PathGroup& id,
                                              Group& group,
                                              TimePoint now) {
@@ -259,43 +215,6 @@
   return change;
 }
 
-void PathMonitor::NoteDoubts(const Evidence& evidence,
-                             Group& group,
-                             TimePoint now) const {
-  if (evidence.silent == 0)
-    group.suspected_at = TimePoint{};
-  else if (group.suspected_at == TimePoint{})
-    group.suspected_at = now;
-  if (!AreSeveral(evidence.refusing, group))
-    group.refused_at = TimePoint{};
-  else if (group.refused_at == TimePoint{})
-    group.refused_at = now;
-}
-
-bool PathMonitor::FailsConnects(const Group& group, TimePoint now) {
-  return group.refused_at != TimePoint{} &&
-         now - group.refused_at >= kProbeConnectTime;
-}
-
-bool PathMonitor::HasWitness(const Group& group, TimePoint now) {
-  return group.witness && group.witness->answered_at > group.last_answer &&
-         IsWithin(group.witness->answered_at, kWitnessMemory, now);
-}
-
-bool PathMonitor::IsAbandoned(const PathGroup& id,
-                              const Evidence& evidence,
-                              const Group& group,
-                              TimePoint now) const {
-  if (group.suspected_at == TimePoint{} || !AreSeveral(evidence.servers, group))
-    return false;
-  // Probes have had time to be answered. Without another host's answers, all
-  // servers may be down; requests to them are refused at once all the same.
-  const Duration doubted = now - group.suspected_at;
-  if (HasWitness(group, now))
-    return doubted >= kServerSilence;
-  return id.kind == PathGroup::Kind::kAll && doubted >= kLoneSilence;
-}
-
 void PathMonitor::SetState(Group& group, State state, TimePoint now) {
   if (group.state != State::kOpen)
     --disturbed_;
@@ -321,95 +240,11 @@
   }
 }
 
-PathMonitor::Evidence PathMonitor::EvidenceOn(const PathGroup& id,
-                                              const Group& group,
-                                              TimePoint now) const {
-  Evidence evidence;
-  const auto is_member = [&id](const Server& record) {
-    return std::ranges::find(record.groups, id) != record.groups.end();
-  };
-  for (const BackendServerId server : failing_) {
-    const Server& record = servers_.at(server);
-    if (!is_member(record))
-      continue;
-    const bool refuses =
-        record.connect_failed_at > group.last_connect &&
-        IsWithin(record.connect_failed_at, kConnectMemory, now);
-    const bool was_lost =
-        record.connection_lost_at > group.last_connect &&
-        IsWithin(record.connection_lost_at, kSuspicionMemory, now);
-    if (refuses) {
-      evidence.servers.insert(server);
-      evidence.refusing.insert(server);
-    }
-    evidence.failing += refuses || was_lost ? 1 : 0;
-  }
-  if (!IsSilent(id, group, now))
-    return evidence;
-  for (const BackendServerId server : running_) {
-    const Server& record = servers_.at(server);
-    const TimePoint heard =
-        std::max({record.silent_since, group.changed_at, resumed_at_});
-    if (!is_member(record) || now - heard < kServerSilence)
-      continue;
-    ++evidence.silent;
-    evidence.servers.insert(server);
-  }
-  return evidence;
-}
-
-bool PathMonitor::AreSeveral(const std::set<BackendServerId>& servers,
-                             const Group& group) const {
-  const std::size_t needed = std::max(
-      kMinServersOfSmallGroup, std::min(kMinServers, group.members.size()));
-  if (servers.size() < needed)
-    return false;
-  const FailureDomainId first = servers_.at(*servers.begin()).domain;
-  return group.domains.size() == 1 ||
-         std::ranges::any_of(servers, [&](BackendServerId server) {
-           return servers_.at(server).domain != first;
-         });
-}
-
-Duration PathMonitor::SilenceOf(const Group& group, TimePoint now) const {
-  return now - std::max(group.last_answer, resumed_at_);
-}
-
-bool PathMonitor::IsSilent(const PathGroup& id,
-                           const Group& group,
-                           TimePoint now) const {
-  if (group.running == 0)
-    return false;
-  // The first answers after an idle time take as long as the work does.
-  if (group.busy_since - group.last_answer > kMinSilence) {
-    const Duration limit =
-        id.kind == PathGroup::Kind::kAll ? kMaxFirstSilence : kMaxSilence;
-    return now - std::max(group.busy_since, resumed_at_) > limit;
-  }
-  const auto limit =
-      Duration(static_cast<Duration::rep>(kSilenceFactor * group.mean_gap_ns));
-  return SilenceOf(group, now) > std::clamp(limit, kMinSilence, kMaxSilence);
-}
-
-bool PathMonitor::NeedsProbes(const PathGroup& id,
-                              const Group& group,
-                              TimePoint now) const {
-  if (IsIncluded(id))
-    return false;
-  if (group.state == State::kLost)
-    return true;
-  const bool can_be_lost = group.members.size() >= kMinServersOfSmallGroup;
-  if (!can_be_lost || (failing_.empty() && !IsSilent(id, group, now)))
-    return false;
-  const Evidence evidence = EvidenceOn(id, group, now);
-  return evidence.silent > 0 || evidence.failing >= kMinServersOfSmallGroup;
-}
-
 std::vector<BackendServerId> PathMonitor::ProbeOrder(const Group& group) {
   std::vector<BackendServerId> order(group.members.begin(),
                                      group.members.end());
   const auto first =
-      static_cast<std::ptrdiff_t>(probe_round_++ * kMinServers % order.size());
+      static_cast<std::ptrdiff_t>(probe_round_++ * kMaxProbes % order.size());
   std::rotate(order.begin(), order.begin() + first, order.end());
   return order;
 }
--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -23,8 +23,8 @@
 
 namespace comfreyvane {
 
-/// Tells a host that has lost its path to backend servers from servers that
-/// have failed. The evidence is added up over groups of servers:
+/// Distinguishes a host that has lost its path to backend servers from servers
+/// that have failed. The evidence is added up over groups of servers:
 ///
 /// - connects to several servers failed, and none succeeded since, or
 /// - requests and probes at several servers are not answered, nor are those at
@@ -98,6 +98,9 @@
       TimePoint now) const;
 
  private:
+  /// Probes that are sent at once.
+  static constexpr std::size_t kMaxProbes = 3;
+
   enum class State : std::uint8_t { kOpen, kLost, kRegained };
 
   struct Server {
@@ -179,6 +182,12 @@
   [[nodiscard]] bool IsIncluded(const PathGroup& id) const;
   [[nodiscard]] bool AllLost() const;
   void ForgetFailures(TimePoint now);
+  /// @return whether an event has happened, within a time before now.
+  [[nodiscard]] static bool IsWithin(TimePoint event,
+                                     Duration memory,
+                                     TimePoint now) {
+    return event != TimePoint{} && now - event < memory;
+  }
 
   std::unordered_map<BackendServerId, Server> servers_;
   std::map<PathGroup, Group> groups_;
@@ -196,7 +205,6 @@
 std::vector<BackendServerId> PathMonitor::TakeProbes(CanProbe can_probe,
                                                      TimePoint now) {
   constexpr Duration kProbeInterval = std::chrono::milliseconds(250);
-  constexpr std::size_t kMaxProbes = 3;
   std::vector<BackendServerId> probes;
   if (now < next_probes_)
     return probes;
--- a/src/comfreyvane/edge/path_report.h
+++ b/src/comfreyvane/edge/path_report.h
@@ -1,5 +1,5 @@
 /// @file
-/// What a host tells others about its path to backend servers.
+/// Report of a host on its path to backend servers.
 #ifndef COMFREYVANE_EDGE_PATH_REPORT_H_
 #define COMFREYVANE_EDGE_PATH_REPORT_H_
 
--- a/src/comfreyvane/gateway/carried_mark.h
+++ b/src/comfreyvane/gateway/carried_mark.h
@@ -21,7 +21,7 @@
   std::string carrier;
   std::uint64_t carrier_incarnation = 0;
   std::string region;          ///< Of the origin.
-  ServiceId service;           ///< That the origin has chosen.
+  ServiceId service;           ///< Selected by the origin.
   std::uint32_t attempts = 0;  ///< Made so far, except failed connects.
 
   friend bool operator==(const CarriedMark&, const CarriedMark&) = default;
