Log for each table of the store from where and since when a host knows it

The lines of the incident spoke of the store as a whole: an answer for one table showed it as regained while the call for another stayed silent. table-stale and table-followed name the table, the source, the position, the call's time and the age of the last answer; the gauge configuration_age_milliseconds is set.

--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -29,6 +29,7 @@
 #include "comfreyvane/gateway/relay_call.h"
 #include "comfreyvane/gateway/relay_client.h"
 #include "comfreyvane/gateway/store_table.h"
+#include "comfreyvane/gateway/table_monitor.h"
 #include "comfreyvane/net/async.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/storage/table_feed.h"
@@ -93,6 +94,10 @@
       state_.RemoveBackend(key, now);
     }
     history_.Prune(now);
+    const Duration age =
+        progress_[IndexOf(StoreTable::kOperator)].monitor.Age(now);
+    state_.context().metrics.SetGauge(GaugeName::kConfigurationAgeMs,
+                                      age / std::chrono::milliseconds(1));
   }
 
  private:
@@ -212,11 +217,14 @@
       }
       if (feed.status != TableStatus::kDone) {
         OnFailure(feed.status, begun, now);
+        progress.monitor.OnFailure(ReasonOf(feed.status), progress.position,
+                                   begun, now);
         co_await PauseUntil(now + Jittered(pause), retries_);
         pause = std::min(2 * pause, kMaxRetryPause);
         continue;
       }
       OnSuccess(now);
+      progress.monitor.OnAnswer("store", feed.position, now);
       pause = kMinRetryPause;
       if (!is_snapshot && progress.needs_snapshot)
         continue;
@@ -275,8 +283,10 @@
     for (const StoreTable table : kAllStoreTables) {
       const TableFeed& feed = answer.feeds[IndexOf(table)];
       const Progress& progress = progress_[IndexOf(table)];
-      if (!progress.needs_snapshot && feed.position >= progress.position)
+      if (!progress.needs_snapshot && feed.position >= progress.position) {
         ApplyFeed(table, feed, false, now);
+        progress_[IndexOf(table)].monitor.OnAnswer(relay_, feed.position, now);
+      }
     }
   }
 
@@ -365,10 +375,14 @@
     monitor_.OnSuccess(now);
   }
 
-  void OnFailure(TableStatus status, TimePoint begun, TimePoint now) {
+  [[nodiscard]] static std::string_view ReasonOf(TableStatus status) {
     static constexpr std::string_view kReasons[] = {
         "done", "conflict", "unavailable", "no-answer", "malformed"};
-    monitor_.OnFailure(kReasons[static_cast<std::size_t>(status)], now);
+    return kReasons[static_cast<std::size_t>(status)];
+  }
+
+  void OnFailure(TableStatus status, TimePoint begun, TimePoint now) {
+    monitor_.OnFailure(ReasonOf(status), now);
     backends_.OnStoreFailure(begun);
     Wake(relay_waiters_);
     state_.context().metrics.Count(CounterName::kTableFailures);
@@ -568,11 +582,14 @@
 
   /// State of following a table.
   struct Progress {
+    explicit Progress(StoreTable table) : monitor(Name(table)) {}
+
     Revision position;
     bool needs_snapshot = true;  ///< All rows must be read.
     /// When to read all rows again after a new era; maximum if not needed.
     TimePoint reread_at = TimePoint::max();
     FeedLog log{kLogBytes};
+    TableMonitor monitor;
   };
 
   GatewayState& state_;
@@ -580,7 +597,9 @@
   Store& store_;
   RandomSource random_;
   RelayClient relay_client_;
-  std::array<Progress, kStoreTables> progress_;
+  std::array<Progress, kStoreTables> progress_{Progress(StoreTable::kOperator),
+                                               Progress(StoreTable::kBackends),
+                                               Progress(StoreTable::kHosts)};
   std::string relay_;                   ///< Name of the relay; empty if none.
   TimePoint relayed_until_{};           ///< The store is not called before.
   TimePoint last_store_answer_{};       ///< Last answer of the store.
--- a/src/comfreyvane/gateway/store_table.h
+++ b/src/comfreyvane/gateway/store_table.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <string_view>
 
 namespace comfreyvane {
 
@@ -26,6 +27,13 @@
   return static_cast<std::size_t>(table);
 }
 
+/// @return the name of a table in log lines.
+[[nodiscard]] constexpr std::string_view Name(StoreTable table) {
+  constexpr std::array<std::string_view, kStoreTables> kNames{
+      "operator", "backends", "hosts"};
+  return kNames[IndexOf(table)];
+}
+
 }  // namespace comfreyvane
 
 #endif  // COMFREYVANE_GATEWAY_STORE_TABLE_H_
