--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -37,10 +37,16 @@
     unsigned status = 0;        ///< Status of all answers; 0 for no fault.
     bool lose_answers = false;  ///< Run calls, but do not answer.
     bool history_lost = false;  ///< Answer the next feed with 410.
+    /// Do not answer calls that begin now or are held, also after the fault.
+    bool silent = false;
+    /// Hold calls for changes over a restore.
+    bool hold_over_restore = false;
   };
   Faults faults;
   int calls = 0;
   std::map<std::string, int> held;  ///< Calls that wait for a change, by table.
+  /// Calls that began while the store was silent, by table.
+  std::map<std::string, int> begun_in_silence;
 
   void Put(const std::string& table,
            const std::string& key,
@@ -84,6 +90,10 @@
     typename Exchange::Answer answer;
     answer.version(11);
     answer.result(200);
+    if (faults.silent) {
+      ++begun_in_silence[query["Table"]];
+      co_return co_await StaySilent(exchange);
+    }
     if (era_ > 0)
       answer.set("Store-Era", std::to_string(era_));
     if (faults.status != 0)
@@ -97,6 +107,8 @@
       answer.result(410);
     else
       answer.body() = co_await HeldChanges(query, rewrite);
+    if (faults.silent)
+      co_return co_await StaySilent(exchange);
     if (faults.lose_answers) {
       exchange.Abort();
       co_return false;
@@ -118,6 +130,16 @@
     bool deleted = false;
   };
 
+  /// Keeps a connection open without an answer for longer than any test lasts.
+  template <typename Exchange>
+  asio::awaitable<bool> StaySilent(Exchange& exchange) {
+    asio::steady_timer timer(io_);
+    timer.expires_after(std::chrono::minutes(5));
+    co_await timer.async_wait(kAwait);
+    exchange.Abort();
+    co_return false;
+  }
+
   [[nodiscard]] static std::string Encode(const std::string& bytes) {
     std::string text(bytes.size() * 2 + 8, '\0');
     const int size =
@@ -197,7 +219,8 @@
     const std::uint64_t after = std::stoull(query["after"]);
     asio::steady_timer timer(io_);
     const std::uint64_t era = era_;
-    for (int waited = 0; waited < std::stoi(query["WaitMs"]) && era == era_;
+    for (int waited = 0; waited < std::stoi(query["WaitMs"]) &&
+                         (era == era_ || faults.hold_over_restore);
          waited += 10) {
       boost::json::array rows = RowsAfter(query["Table"], after, true, rewrite);
       if (!rows.empty())
