--- a/src/comfreyvane/edge/fleet_view.cc
+++ b/src/comfreyvane/edge/fleet_view.cc
@@ -1,6 +1,7 @@
 #include "comfreyvane/edge/fleet_view.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "comfreyvane/base/hash.h"
@@ -167,7 +168,43 @@
   return first.id() == self_.id() ? std::nullopt : std::optional(first);
 }
 
+std::optional<FleetHost> FleetView::FindAnyRelay(TimePoint now) const {
+  struct Domain {
+    const FleetHost* first = nullptr;
+    TimePoint failed_until{};
+  };
+  std::map<FailureDomainId, Domain> domains;
+  for (const auto& [id, member] : hosts_) {
+    if (id == self_.id() || !IsServing(member, now))
+      continue;
+    Domain& domain = domains[member.domain];
+    domain.failed_until =
+        std::max(domain.failed_until, member.relay_backoff_until);
+    if (now >= member.relay_backoff_until &&
+        (domain.first == nullptr || RanksBefore(member.host, *domain.first)))
+      domain.first = &member.host;
+  }
+  const auto rank = [this](const Domain& domain) {
+    return std::tuple(
+        domain.first == nullptr, domain.failed_until,
+        domain.first != nullptr && !IsInOwnDomain(domain.first->id()),
+        domain.first != nullptr && !IsInOwnRegion(*domain.first));
+  };
+  const Domain* best = nullptr;
+  for (const auto& [id, domain] : domains) {
+    if (domain.first != nullptr && domain.first->id() == last_relay_)
+      return *domain.first;
+    if (best == nullptr || rank(domain) < rank(*best))
+      best = &domain;
+  }
+  return best == nullptr || best->first == nullptr
+             ? std::nullopt
+             : std::optional(*best->first);
+}
+
 void FleetView::OnRelayFailed(HostId host, TimePoint now) {
+  if (host == last_relay_)
+    last_relay_ = HostId();
   const auto found = hosts_.find(host);
   if (found != hosts_.end())
     found->second.relay_backoff_until = now + kRelayBackoff;
--- a/src/comfreyvane/edge/fleet_view.h
+++ b/src/comfreyvane/edge/fleet_view.h
@@ -67,6 +67,14 @@
   ///     processor. Nothing if that is this host.
   [[nodiscard]] std::optional<FleetHost> FindRelay(TimePoint now) const;
 
+  /// @return a host through which this one can follow the store when the store
+  ///     does not answer it: the one that relayed last, or the relay of the
+  ///     failure domain whose hosts have failed least recently.
+  [[nodiscard]] std::optional<FleetHost> FindAnyRelay(TimePoint now) const;
+
+  /// Records that a host has relayed the changes of the store.
+  void OnRelayed(HostId host) { last_relay_ = host; }
+
   /// Records that a host does not relay the changes of the store. FindRelay
   /// skips it for some time.
   void OnRelayFailed(HostId host, TimePoint now);
@@ -157,6 +165,7 @@
 
   FleetHost self_;
   bool has_list_ = false;
+  HostId last_relay_{};
   std::map<HostId, Member> hosts_;
 };
 
--- a/src/comfreyvane/gateway/relay_answer.h
+++ b/src/comfreyvane/edge/relay_answer.h
@@ -1,11 +1,12 @@
 /// @file
 /// Changes of the store's tables, relayed by another host.
-#ifndef COMFREYVANE_GATEWAY_RELAY_ANSWER_H_
-#define COMFREYVANE_GATEWAY_RELAY_ANSWER_H_
+#ifndef COMFREYVANE_EDGE_RELAY_ANSWER_H_
+#define COMFREYVANE_EDGE_RELAY_ANSWER_H_
 
 #include <array>
+#include <cstdint>
 
-#include "comfreyvane/gateway/store_table.h"
+#include "comfreyvane/edge/store_table.h"
 #include "comfreyvane/storage/table_feed.h"
 
 namespace comfreyvane {
@@ -21,6 +22,7 @@
 /// Changes of the store's tables, relayed by another host.
 struct RelayAnswer {
   RelayStatus status = RelayStatus::kNoAnswer;
+  std::uint64_t era = 0;  ///< Of the store at that host; 0 if not stated.
   std::array<TableFeed, kStoreTables> feeds{};  ///< By table, if kDone.
 
   friend bool operator==(const RelayAnswer&, const RelayAnswer&) = default;
@@ -28,4 +30,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_GATEWAY_RELAY_ANSWER_H_
+#endif  // COMFREYVANE_EDGE_RELAY_ANSWER_H_
--- a/src/comfreyvane/gateway/relay_call.h
+++ b/src/comfreyvane/edge/relay_call.h
@@ -1,14 +1,14 @@
 /// @file
 /// A host's call to another for changes of the store's tables.
-#ifndef COMFREYVANE_GATEWAY_RELAY_CALL_H_
-#define COMFREYVANE_GATEWAY_RELAY_CALL_H_
+#ifndef COMFREYVANE_EDGE_RELAY_CALL_H_
+#define COMFREYVANE_EDGE_RELAY_CALL_H_
 
 #include <array>
 #include <cstdint>
 
 #include "comfreyvane/base/revision.h"
 #include "comfreyvane/base/time.h"
-#include "comfreyvane/gateway/store_table.h"
+#include "comfreyvane/edge/store_table.h"
 
 namespace comfreyvane {
 
@@ -25,4 +25,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_GATEWAY_RELAY_CALL_H_
+#endif  // COMFREYVANE_EDGE_RELAY_CALL_H_
--- a/src/comfreyvane/gateway/store_table.h
+++ b/src/comfreyvane/edge/store_table.h
@@ -1,7 +1,7 @@
 /// @file
 /// Tables of the platform's store that the gateway uses.
-#ifndef COMFREYVANE_GATEWAY_STORE_TABLE_H_
-#define COMFREYVANE_GATEWAY_STORE_TABLE_H_
+#ifndef COMFREYVANE_EDGE_STORE_TABLE_H_
+#define COMFREYVANE_EDGE_STORE_TABLE_H_
 
 #include <array>
 #include <cstddef>
@@ -36,4 +36,4 @@
 
 }  // namespace comfreyvane
 
-#endif  // COMFREYVANE_GATEWAY_STORE_TABLE_H_
+#endif  // COMFREYVANE_EDGE_STORE_TABLE_H_
--- a/src/comfreyvane/gateway/fwd.h
+++ b/src/comfreyvane/gateway/fwd.h
@@ -15,8 +15,6 @@
 struct HeaderNames;
 struct Heartbeat;
 struct LookUpQuery;
-struct RelayAnswer;
-struct RelayCall;
 class BackendClient;
 class CarriedGuard;
 class DependencyMonitor;
@@ -29,9 +27,12 @@
 class GatewayProcess;
 template <typename Platform>
 class StoreFollower;
+template <typename Platform>
+class StoreRows;
 class PathSupervisor;
 class PeerLink;
 class RelayClient;
+class TableMonitor;
 template <typename Relay, typename Requests>
 class PeerHandler;
 template <typename Source>
--- a/src/comfreyvane/gateway/relay_client.cc
+++ b/src/comfreyvane/gateway/relay_client.cc
@@ -1,5 +1,6 @@
 #include "comfreyvane/gateway/relay_client.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -15,7 +16,7 @@
 
 /// Time for an answer beyond its wait: many round trips within a failure
 /// domain.
-constexpr Duration kMargin = std::chrono::milliseconds(400);
+constexpr Duration kMargin = std::chrono::milliseconds(300);
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
@@ -39,19 +40,21 @@
       std::move(request), MonotonicNow() + call.wait + kMargin);
   if (result.status != HttpCallStatus::kAnswered)
     co_return RelayAnswer{};
+  // The first line of the body is the authentication code.
+  const std::string_view body(result.body);
+  const auto end = std::min(body.find('\n'), body.size());
+  const std::string_view text = body.substr(std::min(end + 1, body.size()));
+  const bool is_authentic =
+      authenticator.Verify(target, text, body.substr(0, end));
+  // Earlier builds refuse without a body.
+  const std::uint64_t era = is_authentic ? ParseRelayEra(text) : 0;
   if (result.http_status == kServiceUnavailable)
-    co_return RelayAnswer{RelayStatus::kNotFresh};
+    co_return RelayAnswer{RelayStatus::kNotFresh, era, {}};
   if (result.http_status == kGone)
-    co_return RelayAnswer{RelayStatus::kHistoryLost};
-  // The first line of the body is the authentication code.
-  const auto end = result.body.find('\n');
-  if (result.http_status == kOk && end != std::string::npos) {
-    const std::string_view body(result.body);
-    const std::string_view text = body.substr(end + 1);
-    if (authenticator.Verify(target, text, body.substr(0, end))) {
-      if (auto answer = ParseRelayAnswer(text))
-        co_return std::move(*answer);
-    }
+    co_return RelayAnswer{RelayStatus::kHistoryLost, era, {}};
+  if (result.http_status == kOk && is_authentic) {
+    if (auto answer = ParseRelayAnswer(text))
+      co_return std::move(*answer);
   }
   Log(LogLevel::kWarning, "relay-answer-unreadable",
       {{"host", host.name},
--- a/src/comfreyvane/gateway/relay_client.h
+++ b/src/comfreyvane/gateway/relay_client.h
@@ -8,9 +8,9 @@
 #include <unordered_map>
 
 #include "comfreyvane/edge/fleet_host.h"
+#include "comfreyvane/edge/relay_answer.h"
+#include "comfreyvane/edge/relay_call.h"
 #include "comfreyvane/gateway/gateway_state.h"
-#include "comfreyvane/gateway/relay_answer.h"
-#include "comfreyvane/gateway/relay_call.h"
 #include "comfreyvane/net/async.h"
 #include "comfreyvane/net/http_client.h"
 
--- a/src/comfreyvane/gateway/relay_codec.cc
+++ b/src/comfreyvane/gateway/relay_codec.cc
@@ -97,6 +97,23 @@
   return json::serialize(feeds);
 }
 
+std::string EncodeRelayEra(std::uint64_t era) {
+  return json::serialize(json::object{{"era", era}});
+}
+
+std::uint64_t ParseRelayEra(std::string_view text) {
+  json::error_code error;
+  const json::value value = json::parse(text, error);
+  if (error || !value.is_object())
+    return 0;
+  const json::value* const era = value.get_object().if_contains("era");
+  if (era == nullptr)
+    return 0;
+  json::error_code not_a_number;
+  const auto number = era->to_number<std::uint64_t>(not_a_number);
+  return not_a_number ? 0 : number;
+}
+
 std::optional<RelayAnswer> ParseRelayAnswer(std::string_view text) {
   json::error_code error;
   const json::value value = json::parse(text, error);
--- a/src/comfreyvane/gateway/relay_codec.h
+++ b/src/comfreyvane/gateway/relay_codec.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "comfreyvane/gateway/relay_answer.h"
-#include "comfreyvane/gateway/relay_call.h"
+#include "comfreyvane/edge/relay_answer.h"
+#include "comfreyvane/edge/relay_call.h"
 
 namespace comfreyvane {
 
@@ -21,6 +21,12 @@
 /// @return the feeds of an answer as JSON.
 [[nodiscard]] std::string EncodeRelayAnswer(const RelayAnswer& answer);
 
+/// @return the body of an answer without feeds: the era of the store.
+[[nodiscard]] std::string EncodeRelayEra(std::uint64_t era);
+
+/// @return the era; 0 if the text does not state one.
+[[nodiscard]] std::uint64_t ParseRelayEra(std::string_view text);
+
 /// @return an answer with status kDone, or nothing if the text is invalid.
 [[nodiscard]] std::optional<RelayAnswer> ParseRelayAnswer(
     std::string_view text);
--- a/src/comfreyvane/gateway/relay_handler.h
+++ b/src/comfreyvane/gateway/relay_handler.h
@@ -42,10 +42,10 @@
     if (call) {
       const RelayAnswer changes = co_await source_.WaitForChanges(*call);
       answer.result(StatusOf(changes.status));
-      if (changes.status == RelayStatus::kDone) {
-        const std::string text = EncodeRelayAnswer(changes);
-        answer.body() = authenticator.Sign(target, text) + '\n' + text;
-      }
+      const std::string text = changes.status == RelayStatus::kDone
+                                   ? EncodeRelayAnswer(changes)
+                                   : EncodeRelayEra(changes.era);
+      answer.body() = authenticator.Sign(target, text) + '\n' + text;
     } else {
       Log(LogLevel::kWarning, "relay-call-refused", {{"target", target}});
     }
--- /dev/null
+++ b/tests/comfreyvane/edge/feed_fleet_test.cc
@@ -0,0 +1,222 @@
+/// @file
+/// Plays fleets that follow a store in trouble: how soon a version is in force.
+#include "support/feed_fleet.h"
+#include "support/criterion.h"
+
+using namespace comfreyvane;
+using namespace comfreyvane::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Time within which a version must be in force at all hosts.
+constexpr Duration kBound = milliseconds(2500);
+
+struct Size {
+  std::size_t hosts;
+  std::size_t domains;
+};
+/// With a failure domain for each host, none relays.
+constexpr Size kFleets[] = {{8, 6}, {8, 8}, {60, 6}, {300, 6}};
+constexpr std::uint64_t kSeeds[] = {1, 2, 3};
+constexpr std::size_t kLargestWithAllSeeds = 60;
+
+/// Plays each size of fleet and seed.
+template <typename Play>
+void PlayFleets(Play play) {
+  for (const Size& size : kFleets) {
+    for (const std::uint64_t seed : kSeeds) {
+      if (size.hosts > kLargestWithAllSeeds && seed != kSeeds[0])
+        continue;
+      FeedFleet fleet(
+          {.hosts = size.hosts, .domains = size.domains, .seed = seed});
+      fleet.Run(seconds(5) + milliseconds(137 * seed));
+      play(fleet);
+    }
+  }
+}
+
+/// @param skipped hosts that need not have the version.
+void ExpectInForce(FeedFleet& fleet,
+                   const std::set<std::size_t>& skipped = {}) {
+  std::size_t late = 0;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    if (fleet.IsUp(i) && !skipped.contains(i) &&
+        fleet.VersionAt(i) != fleet.version())
+      ++late;
+  }
+  cr_expect(late == 0, "%zu of %zu hosts", late, fleet.size());
+}
+
+/// Writes versions 50 ms apart and waits until the last must be in force.
+void WriteVersions(FeedFleet& fleet) {
+  for (int i = 0; i < 4; ++i) {
+    fleet.Write(fleet.version() + 3);
+    fleet.Run(milliseconds(50));
+  }
+  fleet.Run(kBound - milliseconds(50));
+}
+
+}  // namespace
+
+Test(feed_fleet, follows_a_calm_store, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    for (int i = 0; i < 5; ++i) {
+      WriteVersions(fleet);
+      ExpectInForce(fleet);
+    }
+  });
+}
+
+Test(feed_fleet, follows_a_store_after_a_silence, .timeout = 300) {
+  for (const int span : {200, 900, 2600, 8500}) {
+    PlayFleets([span](FeedFleet& fleet) {
+      fleet.SetSilent(true);
+      fleet.Run(milliseconds(span));
+      fleet.SetSilent(false);
+      WriteVersions(fleet);
+      ExpectInForce(fleet);
+    });
+  }
+}
+
+Test(feed_fleet, follows_after_a_silence_of_one_table, .timeout = 300) {
+  for (const StoreTable table : kAllStoreTables) {
+    for (const int span : {200, 3200}) {
+      PlayFleets([table, span](FeedFleet& fleet) {
+        fleet.SetSilent(true, {table});
+        fleet.Run(milliseconds(span));
+        fleet.SetSilent(false, {table});
+        WriteVersions(fleet);
+        ExpectInForce(fleet);
+      });
+    }
+  }
+}
+
+Test(feed_fleet,
+     follows_after_a_silence_in_which_hosts_restart,
+     .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    fleet.SetSilent(true);
+    fleet.Run(seconds(3));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      if (i % 10 < 6)
+        fleet.Restart(i);
+    }
+    fleet.Run(seconds(5));
+    fleet.SetSilent(false);
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, follows_a_store_that_was_restored, .timeout = 300) {
+  for (const std::uint64_t back : {6, 38}) {
+    PlayFleets([back](FeedFleet& fleet) {
+      fleet.Touch(60);
+      fleet.Run(seconds(2));
+      fleet.Restore(back, 1);
+      fleet.Run(milliseconds(20));
+      WriteVersions(fleet);
+      ExpectInForce(fleet);
+    });
+  }
+}
+
+Test(feed_fleet, follows_a_restored_store_while_hosts_start, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    fleet.Touch(60);
+    fleet.Run(seconds(2));
+    fleet.Restore(38, 1);
+    for (std::size_t i = 0; i < fleet.size(); i += 3)
+      fleet.Restart(i);
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, follows_a_store_that_forgets, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    fleet.SetSilent(true);
+    fleet.Run(milliseconds(1200));
+    fleet.Touch(10);
+    fleet.Compact();
+    fleet.SetSilent(false);
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, follows_a_slow_store, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    fleet.latency = milliseconds(200);
+    fleet.Run(seconds(2));
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, follows_when_hosts_are_killed, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    // The relays are among the first hosts of each failure domain.
+    for (std::size_t i = 0; i < fleet.size(); i += 2)
+      fleet.Kill(i);
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, follows_when_hosts_freeze, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    std::set<std::size_t> frozen;
+    for (std::size_t i = 0; i < fleet.size(); i += 2)
+      frozen.insert(i);
+    for (const std::size_t host : frozen)
+      fleet.SetFrozen(host, true);
+    WriteVersions(fleet);
+    ExpectInForce(fleet, frozen);
+    for (const std::size_t host : frozen)
+      fleet.SetFrozen(host, false);
+    fleet.Run(kBound);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, follows_when_hosts_freeze_in_a_silence, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    std::set<std::size_t> frozen;
+    for (std::size_t i = 0; i < fleet.size(); i += 2)
+      frozen.insert(i);
+    fleet.SetSilent(true);
+    fleet.Run(milliseconds(100));
+    for (const std::size_t host : frozen)
+      fleet.SetFrozen(host, true);
+    fleet.SetSilent(false);
+    WriteVersions(fleet);
+    ExpectInForce(fleet, frozen);
+  });
+}
+
+Test(feed_fleet, follows_through_others_when_turned_away, .timeout = 300) {
+  PlayFleets([](FeedFleet& fleet) {
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      if (i % 3 == 0)
+        fleet.refused.insert(i);
+    }
+    fleet.Run(seconds(4));
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  });
+}
+
+Test(feed_fleet, calls_the_store_within_its_rate, .timeout = 300) {
+  // Without relays each host calls for itself.
+  FeedFleet fleet({.hosts = 300, .domains = 300, .seed = 1});
+  fleet.Run(seconds(5));
+  const std::uint64_t before = fleet.calls();
+  fleet.Run(seconds(10));
+  const double rate = static_cast<double>(fleet.calls() - before) / 10.0;
+  cr_expect(rate <= 2000.0 / 4.0, "%.1f calls/s", rate);
+}
--- a/tests/comfreyvane/gateway/relay_codec_test.cc
+++ b/tests/comfreyvane/gateway/relay_codec_test.cc
@@ -45,6 +45,12 @@
   cr_expect(ParseRelayAnswer(EncodeRelayAnswer(FullAnswer())) == FullAnswer());
 }
 
+Test(relay_codec, encodes_and_decodes_eras) {
+  cr_expect(ParseRelayEra(EncodeRelayEra(1ULL << 63U)) == 1ULL << 63U);
+  for (const char* text : {"", "[]", "{}", R"({"era":-1})", R"({"era":"1"})"})
+    cr_expect(ParseRelayEra(text) == 0, "%s", text);
+}
+
 Test(relay_codec, rejects_invalid_answers) {
   for (const char* text :
        {"", "{}", "[]", "[1,2,3]", "[{},{},{}]",
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -219,16 +219,15 @@
     const std::uint64_t after = std::stoull(query["after"]);
     asio::steady_timer timer(io_);
     const std::uint64_t era = era_;
-    for (int waited = 0; waited < std::stoi(query["WaitMs"]) &&
-                         (era == era_ || faults.hold_over_restore);
-         waited += 10) {
+    for (int waited = 0;; waited += 10) {
       boost::json::array rows = RowsAfter(query["Table"], after, true, rewrite);
-      if (!rows.empty())
+      const bool is_over = waited >= std::stoi(query["WaitMs"]) ||
+                           (era != era_ && !faults.hold_over_restore);
+      if (!rows.empty() || is_over)
         co_return Answer(std::move(rows));
       timer.expires_after(std::chrono::milliseconds(10));
       co_await timer.async_wait(kAwait);
     }
-    co_return Answer({});
   }
 
   [[nodiscard]] unsigned Commit(const std::string& body, std::string& answer) {
