Send nothing more to a server that says in an answer that it leaves

Cause: no code read the field; only the entry said that a server leaves.

The adapter reads what an answer says about the requests that its server takes into one value, ServerNotice. LeavingServers keeps the statement until a later incarnation, so that an entry that stays ready, lapses and comes back, or is from an older copy of the store does not undo it. Idle connections to the server are closed, those at work finish.

A removed server is pruned whatever its last answers said.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -53,6 +53,7 @@
         slot.joined_at = now;
     }
     slot.state.Update(entry, now);
+    slot.state.SetSaidLeaving(leaving_.Contains(id, entry.started_ms));
     slot.distance = DistanceOf(entry.failure_domain);
     slot.region = region_id;
     slot.is_evacuated = evacuated_.contains(entry.failure_domain);
@@ -67,6 +68,7 @@
       ServerSlot{BackendState(entry, now), DistanceOf(entry.failure_domain),
                  region_id, has_sent_ ? now : TimePoint{},
                  evacuated_.contains(entry.failure_domain)});
+  slot->state.SetSaidLeaving(leaving_.Contains(id, entry.started_ms));
   ApplyMaxConnections(*slot);
   by_service_[entry.service].push_back(slot.get());
   states_.emplace(id, std::move(slot));
@@ -81,13 +83,28 @@
     overflow_limiter_.SuspendUntil(now + kOverflowSuspension);
 }
 
-void BackendPicker::Prune() {
+bool BackendPicker::OnLeaving(const LeavingReport& report, TimePoint now) {
+  if (!leaving_.Add(report, now))
+    return false;
+  const auto found = states_.find(report.server);
+  if (found == states_.end())
+    return true;
+  ServerSlot& slot = *found->second;
+  slot.state.SetSaidLeaving(
+      leaving_.Contains(report.server, slot.state.entry().started_ms));
+  if (slot.region == self_.region)
+    overflow_limiter_.SuspendUntil(now + kOverflowSuspension);
+  return true;
+}
+
+void BackendPicker::Prune(TimePoint now) {
+  leaving_.Prune(now);
   for (auto it = states_.begin(); it != states_.end();) {
     const BackendState& state = it->second->state;
-    // Draining entries are kept while the registry lists them, so that they are
-    // not taken for new servers.
-    const bool idle = state.is_leaving() && !state.entry().draining;
-    if (idle && state.own_running() == 0) {
+    // Servers that leave are kept while the registry lists them, so that they
+    // are not taken for new servers.
+    const bool is_unlisted = state.is_removed() && !state.entry().draining;
+    if (is_unlisted && state.own_running() == 0) {
       unreachable_ -= it->second->reach == ServerReach::kDirect ? 0 : 1;
       std::erase(by_service_[state.entry().service], it->second.get());
       it = states_.erase(it);
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -17,6 +17,8 @@
 #include "comfreyvane/edge/backend_state.h"
 #include "comfreyvane/edge/backend_use.h"
 #include "comfreyvane/edge/latency_model.h"
+#include "comfreyvane/edge/leaving_report.h"
+#include "comfreyvane/edge/leaving_servers.h"
 #include "comfreyvane/edge/limit_change.h"
 #include "comfreyvane/edge/limit_report.h"
 #include "comfreyvane/edge/limited_room.h"
@@ -57,7 +59,7 @@
   /// Stops the use of a server that the registry no longer lists.
   void Remove(BackendServerId server, TimePoint now);
   /// Deletes servers that have been removed and run no request of this host.
-  void Prune();
+  void Prune(TimePoint now);
 
   /// Replaces the set of evacuated failure domains, whose servers get no
   /// requests. The servers of a domain that is no longer evacuated start cold.
@@ -140,6 +142,14 @@
                     const LimitRank& rank,
                     TimePoint now);
 
+  /// Records that a server has said in an answer that it leaves.
+  /// @return whether that was not known.
+  bool OnLeaving(const LeavingReport& report, TimePoint now);
+  /// @return servers that leave, to report to the other hosts.
+  [[nodiscard]] std::vector<LeavingReport> LeavingReports(TimePoint now) const {
+    return leaving_.Reports(now);
+  }
+
   void OnLoad(BackendServerId server, const LoadReport& report, TimePoint now);
   /// @param use running requests of all other hosts, summed by server.
   void OnPeerUse(const std::vector<BackendUse>& use, TimePoint now);
@@ -214,6 +224,7 @@
   std::unordered_map<ServiceId, std::uint32_t> max_connections_;
   LatencyModel latencies_;
   WarmthModel warmth_;
+  LeavingServers leaving_;
   bool has_sent_ = false;
   /// Average size of answers by kind of request, kilobytes.
   std::unordered_map<std::uint64_t, double> answer_kb_;
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -25,8 +25,9 @@
   [[nodiscard]] std::uint32_t own_running() const { return own_running_; }
   [[nodiscard]] double slowness() const { return slowness_; }
   [[nodiscard]] bool is_leaving() const {
-    return entry_.draining || is_removed_;
+    return entry_.draining || is_removed_ || has_said_leaving_;
   }
+  [[nodiscard]] bool is_removed() const { return is_removed_; }
   [[nodiscard]] bool IsCold(TimePoint now) const { return now < cold_until_; }
   [[nodiscard]] bool IsEjected(TimePoint now) const {
     return now < ejected_until_;
@@ -67,6 +68,8 @@
   void Update(const BackendEntry& entry, TimePoint now);
   /// Marks a server that the registry no longer lists.
   void MarkRemoved() { is_removed_ = true; }
+  /// Sets whether this incarnation has said that it leaves.
+  void SetSaidLeaving(bool has_said) { has_said_leaving_ = has_said; }
   void SetCold(Duration cold_for, TimePoint now);
   /// Ends ejections and forgets the failures that led to them.
   void ForgetFailures();
@@ -95,6 +98,7 @@
 
   BackendEntry entry_;
   bool is_removed_ = false;
+  bool has_said_leaving_ = false;
   std::uint32_t own_running_ = 0;
   double slowness_ = 1.0;
   double failure_rate_ = 0.0;  ///< Moving average over recent attempts, 0 to 1.
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -171,6 +171,7 @@
                                                   const RequestHead& head,
                                                   BackendEntry entry) {
   const BackendServerId server = attempt.server;
+  attempt.result.server_started_ms = entry.started_ms;
   attempt.connection = pool_.Take(server, MonotonicNow());
   attempt.result.used_open_connection = attempt.connection != nullptr;
   if (!attempt.connection) {
@@ -286,6 +287,9 @@
     }
   }
   result.head = attempt.connection->answer().get().base();
+  // Answers with this status come from another server at the same address.
+  if (attempt.code.empty() && result.head->result_int() != kMisdirected)
+    result.notice = context_.notice_of(*result.head);
   co_await ReadBody(attempt);
   if (!result.head)
     co_return;
@@ -360,9 +364,6 @@
   const auto& head = *result.head;
   const unsigned status = head.result_int();
   result.load = LoadOf(head, context_.headers);
-  // Answers with this status come from another server at the same address.
-  if (status != kMisdirected)
-    result.limit = context_.named_limit_of(head);
   const bool not_run =
       head.count(context_.headers.not_run) > 0 || status == kMisdirected;
   if (not_run) {
@@ -385,7 +386,7 @@
     // Every successful answer of a backend server carries a seal, so this one
     // came from something else.
     result.head.reset();
-    result.limit.reset();
+    result.notice.reset();
     result.run_state = RunState::kUnknown;
     OnFailure(attempt, ExchangeFailure::kMalformed);
     return;
@@ -432,7 +433,9 @@
 void BackendClient::Recycle(BackendServerId server,
                             std::unique_ptr<BackendConnection> connection,
                             TimePoint now) {
-  if (connection && connection->reusable())
+  const BackendState* const state = context_.backends.Find(server);
+  const bool is_leaving = state != nullptr && state->is_leaving();
+  if (connection && connection->reusable() && !is_leaving)
     pool_.Give(server, std::move(connection), now);
 }
 
--- a/src/comfreyvane/gateway/call_result.h
+++ b/src/comfreyvane/gateway/call_result.h
@@ -3,13 +3,14 @@
 #ifndef COMFREYVANE_GATEWAY_CALL_RESULT_H_
 #define COMFREYVANE_GATEWAY_CALL_RESULT_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "comfreyvane/base/refusal_reason.h"
 #include "comfreyvane/base/run_state.h"
-#include "comfreyvane/edge/named_limit.h"
+#include "comfreyvane/edge/server_notice.h"
 #include "comfreyvane/net/backend_connection.h"
 #include "comfreyvane/route/load_report.h"
 #include "comfreyvane/route/request_outcome.h"
@@ -37,8 +38,11 @@
   std::uint32_t carrier_attempts = 0;
   Duration retry_after{};
   std::optional<LoadReport> load;
-  /// Limit that the server names; nothing without an answer of this server.
-  std::optional<NamedLimit> limit;
+  /// What the server says about the requests that it takes; nothing without an
+  /// answer of this server.
+  std::optional<ServerNotice> notice;
+  /// Unix time of the start of the server that got the request, milliseconds.
+  std::int64_t server_started_ms = 0;
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/fleet_codec.cc
+++ b/src/comfreyvane/gateway/fleet_codec.cc
@@ -42,6 +42,13 @@
   return rows;
 }
 
+json::array Pairs(const std::vector<LeavingReport>& reports) {
+  json::array rows;
+  for (const LeavingReport& one : reports)
+    rows.push_back(json::array{one.server.value(), one.started_ms});
+  return rows;
+}
+
 /// Stands for a limit that has ended.
 constexpr double kNoLimit = -1.0;
 
@@ -186,6 +193,7 @@
   AddPairs(object, "given", heartbeat.granted_tokens);
   if (!heartbeat.limits.empty())
     object["limits"] = Rows(heartbeat.limits);
+  AddPairs(object, "leaving_servers", heartbeat.leaving_servers);
   if (!heartbeat.asked_paths.empty())
     object["asked"] = Rows(heartbeat.asked_paths);
   if (heartbeat.paths) {
@@ -218,6 +226,11 @@
     heartbeat.requested_tokens = ReadPairs<double>(object, "wanted", amount);
     heartbeat.granted_tokens = ReadPairs<double>(object, "given", amount);
     heartbeat.limits = ReadLimits(object);
+    heartbeat.leaving_servers = ReadPairs<std::int64_t>(
+        object, "leaving_servers",
+        [](std::uint64_t server, std::int64_t started_ms) {
+          return LeavingReport{BackendServerId(server), started_ms};
+        });
     heartbeat.asked_paths = ReadAskedPaths(object);
     heartbeat.paths = ReadPaths(object);
     if (heartbeat.paths) {
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -12,10 +12,10 @@
 #include "comfreyvane/edge/backend_picker.h"
 #include "comfreyvane/edge/carrier_picker.h"
 #include "comfreyvane/edge/fleet_view.h"
-#include "comfreyvane/edge/named_limit.h"
 #include "comfreyvane/edge/path_monitor.h"
 #include "comfreyvane/edge/poison_request_tracker.h"
 #include "comfreyvane/edge/route_table.h"
+#include "comfreyvane/edge/server_notice.h"
 #include "comfreyvane/edge/share_splitter.h"
 #include "comfreyvane/edge/workspace_limiter.h"
 #include "comfreyvane/gateway/gateway_settings.h"
@@ -30,15 +30,16 @@
 inline constexpr double kAttemptLinesPerSecond = 150.0;
 inline constexpr double kRefusalLinesPerSecond = 150.0;
 
-/// Reads the request limit that a backend server names in its answer's head.
-using LimitDecoder =
-    NamedLimit (*)(const boost::beast::http::response_header<>& head);
+/// Reads what a backend server says in its answer's head about the requests
+/// that it takes.
+using NoticeDecoder =
+    ServerNotice (*)(const boost::beast::http::response_header<>& head);
 
 /// State shared by the components of a gateway. Used by one thread.
 struct GatewayContext {
   GatewaySettings settings;
   HeaderNames headers;
-  LimitDecoder named_limit_of;
+  NoticeDecoder notice_of;
   MetricsRegistry metrics{};
   std::shared_ptr<const RouteTable> table;  ///< Null until one is received.
   BackendPicker backends;
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -278,7 +278,7 @@
     context_.poison.OnAnswered(request.fingerprint);
   if (result.load)
     dispatcher_.OnLoad(choice.server, *result.load, now);
-  RecordLimit(choice.server, result, now - latency, now);
+  RecordNotice(choice.server, result, now - latency, now);
   if (choice.held_back_by)
     context_.metrics.Count(CounterName::kHeldBackByLimit);
   if (!context_.attempt_lines.TryTake(now))
@@ -299,7 +299,8 @@
        {"status", result.head ? result.head->result_int() : 0U},
        {"reason",
         result.head ? std::string_view("answered") : Name(result.reason)},
-       {"limit", result.limit ? result.limit->rate : 0.0},
+       {"limit", result.notice ? result.notice->limit.rate : 0.0},
+       {"server_leaving", result.notice && result.notice->is_leaving},
        {"held_back_by", NameOf(choice.held_back_by)},
        {"running", state == nullptr ? 0U : state->own_running()},
        {"others", state == nullptr ? 0.0 : state->OthersRunning(now)},
@@ -364,20 +365,23 @@
                           : std::string_view(state->entry().name);
 }
 
-void GatewayHandler::RecordLimit(BackendServerId server,
-                                 const CallResult& result,
-                                 TimePoint sent_at,
-                                 TimePoint now) {
-  if (!result.limit)
+void GatewayHandler::RecordNotice(BackendServerId server,
+                                  const CallResult& result,
+                                  TimePoint sent_at,
+                                  TimePoint now) {
+  if (!result.notice)
     return;
+  if (result.notice->is_leaving)
+    peers_.OnLeavingAnswer({server, result.server_started_ms}, now);
+  const NamedLimit& limit = result.notice->limit;
   // A server that did not run a request says nothing about the end of a limit.
-  if (result.limit->state == NamedLimit::State::kAbsent &&
+  if (limit.state == NamedLimit::State::kAbsent &&
       result.run_state != RunState::kRan)
     return;
   const LimitChange change =
-      context_.backends.OnNamedLimit(server, *result.limit, sent_at, now);
+      context_.backends.OnNamedLimit(server, limit, sent_at, now);
   LogLimitChange(NameOf(server), change, "answer");
-  if (result.limit->state == NamedLimit::State::kUnreadable &&
+  if (limit.state == NamedLimit::State::kUnreadable &&
       context_.attempt_lines.TryTake(now))
     Log(LogLevel::kWarning, "server-limit-unreadable",
         {{"server", NameOf(server)}});
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -179,10 +179,10 @@
       const std::optional<BackendServerId>& server) const;
   /// Applies the limit that an answer names, and logs a change.
   /// @param sent_at when the answered request was sent.
-  void RecordLimit(BackendServerId server,
-                   const CallResult& result,
-                   TimePoint sent_at,
-                   TimePoint now);
+  void RecordNotice(BackendServerId server,
+                    const CallResult& result,
+                    TimePoint sent_at,
+                    TimePoint now);
   void RecordRefusal(const GatewayRequest& request,
                      const Refusal& refusal,
                      TimePoint now);
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -58,7 +58,7 @@
         sweeper_(io_),
         context_{settings,
                  Platform::Headers(),
-                 Platform::NamedLimitOf,
+                 Platform::NoticeOf,
                  {},
                  nullptr,
                  BackendPicker(LocationOf(settings),
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -67,16 +67,17 @@
     LogLimitEnd(entry.id(), "server-restarted");
   const bool was_leaving = known != nullptr && known->is_leaving();
   const bool is_other =
-      moved || was_leaving || entry.draining ||
+      moved || was_leaving ||
       (known != nullptr &&
        (known->entry().service != entry.service ||
         known->entry().failure_domain != entry.failure_domain));
   context_.backends.Upsert(entry, now);
-  if (is_other)
+  const bool is_leaving = context_.backends.Find(entry.id())->is_leaving();
+  if (is_other || is_leaving)
     context_.paths.OnGone(entry.id());
-  if (!entry.draining)
+  if (!is_leaving)
     context_.paths.OnListed(entry.id(), entry.service, entry.failure_domain);
-  if (moved || entry.draining)
+  if (moved || is_leaving)
     backend_client_.CloseIdle(entry.id());
   if (same)
     return;
@@ -91,6 +92,24 @@
   dispatcher_.OnTick(now);
 }
 
+void GatewayState::OnServerLeaving(const LeavingReport& report,
+                                   std::string_view source,
+                                   TimePoint now) {
+  if (!context_.backends.OnLeaving(report, now))
+    return;
+  const BackendState* const state = context_.backends.Find(report.server);
+  Log(LogLevel::kInfo, "server-leaving",
+      {{"server", state == nullptr ? std::string_view("unlisted")
+                                   : std::string_view(state->entry().name)},
+       {"source", source},
+       {"started_ms", report.started_ms}});
+  if (state == nullptr || !state->is_leaving())
+    return;
+  context_.paths.OnGone(report.server);
+  backend_client_.CloseIdle(report.server);
+  dispatcher_.OnTick(now);
+}
+
 void GatewayState::RemoveBackend(const std::string& name, TimePoint now) {
   const BackendServerId id = BackendServerId::Of(name);
   LogLimitEnd(id, "server-gone");
@@ -202,7 +221,7 @@
                                     context_.leaving, now),
         now);
   }
-  context_.backends.Prune();
+  context_.backends.Prune(now);
   backend_client_.PruneIdle(now);
 }
 
--- a/src/comfreyvane/gateway/gateway_state.h
+++ b/src/comfreyvane/gateway/gateway_state.h
@@ -34,6 +34,13 @@
                           TimePoint now);
 
   void UpsertBackend(const BackendEntry& entry, TimePoint now);
+
+  /// Records that a backend server has said that it leaves.
+  /// @param source "answer", or the host that has reported it.
+  void OnServerLeaving(const LeavingReport& report,
+                       std::string_view source,
+                       TimePoint now);
+
   void RemoveBackend(const std::string& name, TimePoint now);
 
   /// Starts or ends the evacuation of a failure domain.
--- a/src/comfreyvane/gateway/heartbeat.h
+++ b/src/comfreyvane/gateway/heartbeat.h
@@ -12,6 +12,7 @@
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/edge/backend_use.h"
 #include "comfreyvane/edge/crash_count.h"
+#include "comfreyvane/edge/leaving_report.h"
 #include "comfreyvane/edge/limit_report.h"
 #include "comfreyvane/edge/path_group.h"
 #include "comfreyvane/edge/path_report.h"
@@ -41,6 +42,8 @@
   Duration loop_delay{};  ///< With `paths`: how late the sender runs.
   /// Request limits of backend servers.
   std::vector<LimitReport> limits;
+  /// Backend servers that have said that they leave.
+  std::vector<LeavingReport> leaving_servers;
 
   friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -125,8 +125,10 @@
   GrantTokens(heartbeat, now);
   for (const LimitReport& report : heartbeat.limits)
     OnLimitReport(heartbeat.host, report, now);
+  for (const LeavingReport& report : heartbeat.leaving_servers)
+    state_.OnServerLeaving(report, heartbeat.host, now);
   if (has_restarted)
-    SendLimitsToStartedHost(host, now);
+    SendNoticesToStartedHost(host, now);
   ExchangePaths(heartbeat, host, now);
 }
 
@@ -173,6 +175,10 @@
                                : std::optional(found->second.incarnation);
 }
 
+void PeerLink::OnLeavingAnswer(const LeavingReport& report, TimePoint now) {
+  state_.OnServerLeaving(report, "answer", now);
+}
+
 void PeerLink::OnLimitReport(const std::string& host,
                              const LimitReport& report,
                              TimePoint now) {
@@ -182,11 +188,11 @@
     LogLimitChange(state->entry().name, change, host);
 }
 
-void PeerLink::SendLimitsToStartedHost(HostId host, TimePoint now) {
+void PeerLink::SendNoticesToStartedHost(HostId host, TimePoint now) {
   const auto receiver = context_.fleet.Find(host);
-  const std::string limits = LimitsDatagram(now);
-  if (receiver && !limits.empty())
-    SendTo(*receiver, limits);
+  const std::string notices = NoticesDatagram(now);
+  if (receiver && !notices.empty())
+    SendTo(*receiver, notices);
 }
 
 void PeerLink::SendLimitNews(TimePoint now) {
@@ -208,11 +214,13 @@
   }
 }
 
-std::string PeerLink::LimitsDatagram(TimePoint now) {
+std::string PeerLink::NoticesDatagram(TimePoint now) {
   std::vector<LimitReport> limits = context_.backends.LimitReports(now);
-  if (limits.empty())
+  std::vector<LeavingReport> leaving = context_.backends.LeavingReports(now);
+  if (limits.empty() && leaving.empty())
     return {};
   Heartbeat heartbeat = Compose(now);
+  heartbeat.leaving_servers = std::move(leaving);
   if (limits.size() > kMaxLimitsPerDatagram) {
     const auto first = static_cast<std::ptrdiff_t>(
         heartbeat.sequence * kMaxLimitsPerDatagram % limits.size());
@@ -369,13 +377,13 @@
   heartbeat.use = context_.backends.LocalUse();
   heartbeat.requested_tokens = PendingTokenRequests(now);
   const std::string datagram = DatagramOf(heartbeat);
-  const std::string limits = LimitsDatagram(now);
+  const std::string notices = NoticesDatagram(now);
   for (const FleetHost& host : context_.fleet.Peers()) {
     if (!context_.fleet.IsInOwnRegion(host))
       continue;
     SendTo(host, datagram);
-    if (!limits.empty())
-      SendTo(host, limits);
+    if (!notices.empty())
+      SendTo(host, notices);
   }
 }
 
@@ -391,7 +399,7 @@
   if (state_.fleet_secret().empty())
     return;
   const bool sends_full_use = hosts.size() <= kMaxHostsForFullUse;
-  const std::string limits = LimitsDatagram(now);
+  const std::string notices = NoticesDatagram(now);
   std::map<std::string, std::string> by_region;
   for (const FleetHost& host : hosts) {
     const auto [datagram, added] = by_region.try_emplace(host.region);
@@ -405,8 +413,8 @@
       datagram->second = DatagramOf(heartbeat);
     }
     // Receivers drop datagrams that were composed before the last received.
-    if (!limits.empty())
-      SendTo(host, limits);
+    if (!notices.empty())
+      SendTo(host, notices);
     SendTo(host, datagram->second);
   }
 }
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -46,6 +46,9 @@
   ///     received.
   [[nodiscard]] std::optional<std::uint64_t> IncarnationOf(HostId host) const;
 
+  /// Records that a server has said in an answer to this host that it leaves.
+  void OnLeavingAnswer(const LeavingReport& report, TimePoint now);
+
   /// Requests tokens of a limit from the pool of the failure domain or, if this
   /// host is the pool, from other pools. Requests are rate limited.
   /// @return whether tokens may arrive shortly. False if recent requests were
@@ -80,14 +83,16 @@
   void OnLimitReport(const std::string& host,
                      const LimitReport& report,
                      TimePoint now);
-  /// Reports limits to a host that has just started and knows none.
-  void SendLimitsToStartedHost(HostId host, TimePoint now);
+  /// Reports limits and servers that leave to a host that has just started and
+  /// knows none.
+  void SendNoticesToStartedHost(HostId host, TimePoint now);
   /// Tells the hosts that report a server's limit to all others what an answer
   /// to this host has just changed.
   void SendLimitNews(TimePoint now);
-  /// @return the limits that this host reports, in a datagram of their own;
-  ///     empty if there are none. With many, each call takes other ones.
-  [[nodiscard]] std::string LimitsDatagram(TimePoint now);
+  /// @return the limits and leaving servers that this host reports, in a
+  ///     datagram of their own; empty if there are none. With many limits, each
+  ///     call takes other ones.
+  [[nodiscard]] std::string NoticesDatagram(TimePoint now);
   /// Sends heartbeats to the other hosts of the region.
   void SendToRegion(TimePoint now);
   /// Sends heartbeats to hosts of other regions.
--- a/tests/comfreyvane/edge/backend_picker_test.cc
+++ b/tests/comfreyvane/edge/backend_picker_test.cc
@@ -325,3 +325,42 @@
               "%zu hosts: %u connections", hosts, open);
   }
 }
+
+Test(backend_picker, a_server_that_says_it_leaves_gets_no_more_requests) {
+  BackendPicker picker = PickerInWest();
+  BackendEntry entry = EntryOf("a", "west-a");
+  entry.started_ms = 1;
+  picker.Upsert(entry, kStart);
+  const PickRequest request = RequestFor(5);
+  const auto choice = picker.Pick(request, kStart);
+  cr_assert(choice.has_value());
+  cr_expect(picker.OnLeaving({entry.id(), 1}, kStart));
+  cr_expect(!picker.OnLeaving({entry.id(), 1}, kStart), "known");
+  cr_expect(!picker.OnStarted(*choice, kStart), "chosen before");
+  cr_expect(!picker.Pick(request, kStart));
+  cr_expect(!picker.HasServers(request.service));
+  // Its entry stays ready.
+  picker.Upsert(entry, kStart + seconds(1));
+  picker.Prune(kStart + seconds(1));
+  cr_expect(!picker.Pick(request, kStart + seconds(1)));
+  // Its entry lapses and comes back.
+  picker.Remove(entry.id(), kStart + seconds(2));
+  picker.Prune(kStart + seconds(2));
+  cr_expect(picker.Find(entry.id()) == nullptr);
+  picker.Upsert(entry, kStart + seconds(3));
+  cr_expect(!picker.Pick(request, kStart + seconds(3)));
+  // It starts again under the same name.
+  entry.started_ms = 2;
+  picker.Upsert(entry, kStart + seconds(4));
+  cr_expect(picker.Pick(request, kStart + seconds(4)).has_value());
+  cr_expect(picker.LeavingReports(kStart + seconds(4)).size() == 1);
+}
+
+Test(backend_picker, a_report_on_an_earlier_incarnation_changes_nothing) {
+  BackendPicker picker = PickerInWest();
+  BackendEntry entry = EntryOf("a", "west-a");
+  entry.started_ms = 2;
+  picker.Upsert(entry, kStart);
+  picker.OnLeaving({entry.id(), 1}, kStart);
+  cr_expect(picker.Pick(RequestFor(5), kStart).has_value());
+}
--- a/tests/comfreyvane/gateway/fleet_codec_test.cc
+++ b/tests/comfreyvane/gateway/fleet_codec_test.cc
@@ -20,6 +20,7 @@
   heartbeat.crash_counts = {{5, 6}};
   heartbeat.requested_tokens = {{WorkspaceId(7), 8.0}};
   heartbeat.granted_tokens = {{WorkspaceId(9), 0.125}};
+  heartbeat.leaving_servers = {{BackendServerId::Of("i-2"), 1700000000001}};
   heartbeat.limits = {{BackendServerId::Of("i-1"), 1700000000000, 2.4,
                        std::chrono::milliseconds(350)},
                       {BackendServerId::Of("i-2"), 1, std::nullopt, {}}};
--- a/tests/platform/gateway_platform_test.cc
+++ b/tests/platform/gateway_platform_test.cc
@@ -29,12 +29,23 @@
   const auto named = [](const char* value) {
     boost::beast::http::response_header<> head;
     head.set("server-limit", value);
-    return GatewayPlatform::NamedLimitOf(head);
+    return GatewayPlatform::NoticeOf(head).limit;
   };
-  cr_expect(GatewayPlatform::NamedLimitOf({}) == NamedLimit{});
+  cr_expect(GatewayPlatform::NoticeOf({}) == ServerNotice{});
   cr_expect(named("2.4") == NamedLimit({NamedLimit::State::kNamed, 2.4}));
   cr_expect(named("3") == NamedLimit({NamedLimit::State::kNamed, 3.0}));
   cr_expect(named("0") == NamedLimit({NamedLimit::State::kNamed, 0.0}));
   for (const char* text : {"", "x", "-1", "2.4.1", "2 per s", "nan", "inf"})
     cr_expect(named(text).state == NamedLimit::State::kUnreadable, "%s", text);
 }
+
+Test(gateway_platform, reads_whether_an_answer_says_that_its_server_leaves) {
+  const auto is_leaving = [](const char* value) {
+    boost::beast::http::response_header<> head;
+    head.set("server-leaving", value);
+    return GatewayPlatform::NoticeOf(head).is_leaving;
+  };
+  cr_expect(is_leaving("1"));
+  cr_expect(is_leaving("true"));
+  cr_expect(!is_leaving("0"));
+}
