--- a/tests/platform/server_trouble_test.cc
+++ b/tests/platform/server_trouble_test.cc
@@ -1,6 +1,8 @@
 /// @file
 /// Tests what callers receive if a backend server sends malformed, endless or
 /// truncated answers.
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -138,3 +140,33 @@
   }
   cr_expect(served > 20, "%d", served);
 }
+
+Test(server_trouble, a_head_that_breaks_off_is_no_answer, .timeout = 120) {
+  constexpr std::size_t kHeadBytes = 90;
+  constexpr int kWholePerCut = 4;
+  std::atomic<std::size_t> cut = 0;
+  std::atomic<int> cuts = 0;
+  RawServer server([&](RawServer::Peer& peer, const std::string& head) {
+    const std::string answer = HeadOfAnswer(head, "Content-Length: 2\r\n");
+    if (!FieldOf(head, "X-Request-Id").starts_with("cut"))
+      return peer.Write(answer + "hi");
+    ++cuts;
+    peer.Write(answer.substr(0, cut));
+    return false;
+  });
+  Deployment deployment;
+  UseOnly(deployment, server);
+  for (std::size_t i = 0; i < kHeadBytes; i += 3) {
+    cut = i;
+    const std::string number = std::to_string(i);
+    // Failures alone would take the server out of use.
+    for (int whole = 0; whole < kWholePerCut; ++whole)
+      static_cast<void>(deployment.Request(
+          "/r/x", "whole" + number + "-" + std::to_string(whole)));
+    const std::string path = i % 2 == 0 ? "/r/x" : "/w/x";
+    const std::string answer = deployment.Request(path, "cut" + number);
+    cr_expect(!answer.starts_with("HTTP/1.1 2"), "cut at %zu: %s", i,
+              answer.c_str());
+  }
+  cr_expect(cuts >= 15, "%d", cuts.load());
+}
