Look for evidence of a path when another host asks

A host that had lost its path refused its callers as no-path although others reached the servers, if those had been idle for two seconds: answers older than that are no evidence, and a host without requests gets no newer ones.

Cause: a host that was asked only reported what it had.

Servers of the groups that a host is asked about are probed if none has answered for a second. The next question, 300 ms later, gets the answer.

--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -145,6 +145,14 @@
   }
 }
 
+void PathMonitor::OnAsked(const std::vector<PathGroup>& groups, TimePoint now) {
+  for (const PathGroup& id : groups) {
+    const auto found = groups_.find(id);
+    if (found != groups_.end())
+      found->second.asked_at = now;
+  }
+}
+
 void PathMonitor::OnPeerReport(HostId peer,
                                const std::vector<PathReport>& reports,
                                TimePoint now) {
--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -60,6 +60,10 @@
   /// addition to OnAnswered.
   void OnProbeAnswered(BackendServerId server);
 
+  /// Records that another host has asked what this one reaches. Servers of the
+  /// groups without a recent answer are probed.
+  void OnAsked(const std::vector<PathGroup>& groups, TimePoint now);
+
   /// Records what another host reaches.
   void OnPeerReport(HostId peer,
                     const std::vector<PathReport>& reports,
@@ -132,6 +136,7 @@
     /// While lost: connections that are open still bring answers.
     bool has_open_connections = false;
     std::set<BackendServerId> probed;  ///< Servers that answered probes.
+    TimePoint asked_at{};              ///< By another host; zero: never.
     std::optional<Witness> witness;
     double direct_credit = 0.0;
   };
--- a/src/comfreyvane/edge/path_monitor_evidence.cc
+++ b/src/comfreyvane/edge/path_monitor_evidence.cc
@@ -37,6 +37,11 @@
 constexpr Duration kSuspicionMemory = std::chrono::milliseconds(500);
 constexpr Duration kWitnessMemory = std::chrono::seconds(1);
 
+/// Time for which another host's question is a reason to probe, and the age of
+/// the last answer up to which there is none.
+constexpr Duration kQuestionMemory = std::chrono::milliseconds(500);
+constexpr Duration kRecentAnswer = std::chrono::seconds(1);
+
 }  // namespace
 
 void PathMonitor::ForgetFailures(TimePoint now) {
@@ -124,6 +129,9 @@
     return false;
   if (group.state == State::kLost)
     return true;
+  if (IsWithin(group.asked_at, kQuestionMemory, now) &&
+      !IsWithin(group.last_answer, kRecentAnswer, now))
+    return true;
   const bool can_be_lost = group.members.size() >= kMinServersOfSmallGroup;
   if (!can_be_lost || (failing_.empty() && !IsSilent(id, group, now)))
     return false;
--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -148,6 +148,7 @@
   }
   if (heartbeat.asked_paths.empty())
     return;
+  context_.paths.OnAsked(heartbeat.asked_paths, now);
   Heartbeat answer = Compose(now);
   answer.paths = context_.paths.ReportsOn(heartbeat.asked_paths, now);
   answer.loop_delay = context_.loop_delay;
--- a/tests/comfreyvane/edge/path_monitor_test.cc
+++ b/tests/comfreyvane/edge/path_monitor_test.cc
@@ -259,3 +259,21 @@
         paths.TakeProbes([](BackendServerId) { return true; }, now).empty());
   }
 }
+
+Test(path_monitor, an_idle_host_looks_for_evidence_when_it_is_asked) {
+  MonitoredHost host;
+  host.Wait(seconds(5));
+  const auto can_probe = [](BackendServerId) { return true; };
+  cr_expect(host.paths.ReportsOn({PathGroup::All()}, host.now).empty());
+  cr_expect(host.paths.TakeProbes(can_probe, host.now).empty());
+  host.paths.OnAsked({PathGroup::All()}, host.now);
+  const auto probes = host.paths.TakeProbes(can_probe, host.now);
+  cr_assert(!probes.empty());
+  host.paths.OnSent(probes.front(), host.now);
+  host.paths.OnAnswered(probes.front(), host.now);
+  cr_expect(host.paths.ReportsOn({PathGroup::All()}, host.now).size() == 1);
+  host.Wait(milliseconds(300));
+  host.paths.OnAsked({PathGroup::All()}, host.now);
+  cr_expect(host.paths.TakeProbes(can_probe, host.now).empty(),
+            "it has a recent answer");
+}
