Count connections that are accepted and closed unanswered as a lost path

Cause: an accepted connection was taken for a path, though a middle box or a proxy may accept it. So connects "succeeded", and no loss was noticed.

Connections that several servers close without an answer, while no server of the group has answered for 300 ms, count like failed connects. Answers end the suspicion, so crashes of some servers beside others that answer do not count. connections_that_are_accepted_and_closed_are_a_lost_path fails without the change.

--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -26,7 +26,9 @@
 /// Distinguishes a host that has lost its path to backend servers from servers
 /// that have failed. The evidence is added up over groups of servers:
 ///
-/// - connects to several servers failed, and none succeeded since, or
+/// - connects to several servers failed, and none succeeded since, or their
+///   connections were closed without an answer, and no server has answered
+///   since, or
 /// - requests and probes at several servers are not answered, nor are those at
 ///   any other server of the group, while another host has answers of the
 ///   group; or, for all servers together, for a longer time.
--- a/src/comfreyvane/edge/path_monitor_evidence.cc
+++ b/src/comfreyvane/edge/path_monitor_evidence.cc
@@ -48,7 +48,7 @@
   std::erase_if(failing_, [&](BackendServerId server) {
     Server& record = servers_.at(server);
     return !IsWithin(record.connect_failed_at, kConnectMemory, now) &&
-           !IsWithin(record.connection_lost_at, kSuspicionMemory, now);
+           !IsWithin(record.connection_lost_at, kConnectMemory, now);
   });
 }
 
@@ -63,9 +63,16 @@
     const Server& record = servers_.at(server);
     if (!is_member(record))
       continue;
+    // Something between may accept connections and close them: only an answer
+    // shows that there is a path.
+    const bool is_closed_unanswered =
+        record.connection_lost_at > group.last_answer &&
+        SilenceOf(group, now) > kMinSilence &&
+        IsWithin(record.connection_lost_at, kConnectMemory, now);
     const bool refuses =
-        record.connect_failed_at > group.last_connect &&
-        IsWithin(record.connect_failed_at, kConnectMemory, now);
+        (record.connect_failed_at > group.last_connect &&
+         IsWithin(record.connect_failed_at, kConnectMemory, now)) ||
+        is_closed_unanswered;
     const bool was_lost =
         record.connection_lost_at > group.last_connect &&
         IsWithin(record.connection_lost_at, kSuspicionMemory, now);
--- a/tests/comfreyvane/edge/path_monitor_test.cc
+++ b/tests/comfreyvane/edge/path_monitor_test.cc
@@ -260,6 +260,34 @@
   }
 }
 
+Test(path_monitor, connections_that_are_accepted_and_closed_are_a_lost_path) {
+  MonitoredHost host;
+  for (std::size_t i = 0; i < 30; ++i) {
+    const BackendServerId server =
+        MonitoredHost::Server(i % MonitoredHost::kServers);
+    host.paths.OnConnected(server, host.now);
+    host.paths.OnSent(server, host.now);
+    host.paths.OnConnectionLost(server, host.now);
+    host.Wait(milliseconds(20));
+  }
+  cr_expect(host.HasLost(PathGroup::All()));
+}
+
+Test(path_monitor, an_answer_outweighs_connections_that_were_closed) {
+  MonitoredHost host;
+  for (std::size_t i = 0; i < 30; ++i) {
+    const BackendServerId server =
+        MonitoredHost::Server(i % MonitoredHost::kServers);
+    host.paths.OnSent(server, host.now);
+    if (i % MonitoredHost::kServers == 0)
+      host.paths.OnAnswered(server, host.now);
+    else
+      host.paths.OnConnectionLost(server, host.now);
+    host.Wait(milliseconds(10));
+  }
+  cr_expect(!host.HasLost(PathGroup::All()));
+}
+
 Test(path_monitor, an_idle_host_looks_for_evidence_when_it_is_asked) {
   MonitoredHost host;
   host.Wait(seconds(5));
