--- a/tests/comfreyvane/gateway/fleet_codec_test.cc
+++ b/tests/comfreyvane/gateway/fleet_codec_test.cc
@@ -80,3 +80,18 @@
     static_cast<void>(ParseHeartbeat(changed));
   }
 }
+
+Test(fleet_codec, reads_and_writes_heartbeats_of_earlier_builds) {
+  // As build f57ed58 writes it, and 73f237c but for the paths.
+  const std::string text =
+      R"({"host":"edge-1","incarnation":5,"sequence":7,"use":[[1,2]],)"
+      R"("limits":[[3,1700000000000,2.4E0,350]],"asked":[[0,0]],)"
+      R"("paths":[[0,0,120]],"delay_ms":3})";
+  const auto heartbeat = ParseHeartbeat(text);
+  cr_assert(heartbeat.has_value());
+  cr_expect(heartbeat->leaving_servers.empty());
+  cr_expect(EncodeHeartbeat(*heartbeat) == text);
+  // Earlier builds pass over fields that they do not know.
+  const std::string later = text.substr(0, text.size() - 1) + R"(,"later":1})";
+  cr_expect(ParseHeartbeat(later) == heartbeat);
+}
--- a/tests/comfreyvane/gateway/relay_codec_test.cc
+++ b/tests/comfreyvane/gateway/relay_codec_test.cc
@@ -72,3 +72,19 @@
     static_cast<void>(ParseRelayAnswer(changed));
   }
 }
+
+Test(relay_codec, reads_and_writes_messages_of_earlier_builds) {
+  // As builds 73f237c and f57ed58 write them; those refuse without a body.
+  const std::string target =
+      "/changes?nonce=7&era=3&wait_ms=1000&position=1&position=2&position=3";
+  const auto call = ParseRelayCall(target);
+  cr_assert(call.has_value());
+  cr_expect(EncodeRelayCall(*call) == target);
+  const std::string text =
+      R"([{"position":40,"rows":[["YQ==","Yg==",40]]},)"
+      R"({"position":41,"rows":[]},{"position":42,"rows":[]}])";
+  const auto answer = ParseRelayAnswer(text);
+  cr_assert(answer.has_value());
+  cr_expect(EncodeRelayAnswer(*answer) == text);
+  cr_expect(ParseRelayEra("") == 0);
+}
