Send nothing to a server for as long as it wants no requests

Cause: a server that shed a request was left alone for 150 ms whatever it said.

ServerNotice has the time; BackendState gives the server nothing until then, and one request at a time for a second after it. Objects have their next home meanwhile. A later, shorter wait does not end it, a new incarnation does, and it is 60 s at most. Where all servers that may run a request want none, the request waits only if one will in time, else it is refused at once with that time.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -242,7 +242,8 @@
   const bool is_ejected =
       state.IsEjected(now) && slot.reach != ServerReach::kOpenConnections;
   if (!slot.MayRun(request) || !IsReachable(slot) || is_ejected ||
-      !HasRoom(slot, now) || !slot.HasConnection() || !slot.limit.CanSend(now))
+      state.IsHeldBack(now) || !HasRoom(slot, now) || !slot.HasConnection() ||
+      !slot.limit.CanSend(now))
     return false;
   return !state.IsCold(now) || state.HasColdToken(slot.cold_rate, now);
 }
@@ -252,7 +253,8 @@
   if (found == states_.end())
     return false;
   ServerSlot& slot = *found->second;
-  if (slot.state.is_leaving() || slot.is_evacuated)
+  if (slot.state.is_leaving() || slot.is_evacuated ||
+      slot.state.IsHeldBack(now))
     return false;
   if (!slot.HasConnection() || !slot.limit.CanSend(now))
     return false;
@@ -307,6 +309,27 @@
     overflow_limiter_.SuspendUntil(now + kOverflowSuspension);
 }
 
+void BackendPicker::OnWait(BackendServerId server,
+                           Duration wait,
+                           TimePoint now) {
+  const auto found = states_.find(server);
+  if (found != states_.end())
+    found->second->state.OnWait(wait, now);
+}
+
+Duration BackendPicker::TimeUntilWanted(const PickRequest& request,
+                                        TimePoint now) const {
+  const auto found = by_service_.find(request.service);
+  if (found == by_service_.end())
+    return Duration::zero();
+  TimePoint first = TimePoint::max();
+  for (const ServerSlot* slot : found->second) {
+    if (slot->MayRun(request))
+      first = std::min(first, std::max(now, slot->state.wait_until()));
+  }
+  return first == TimePoint::max() ? Duration::zero() : first - now;
+}
+
 void BackendPicker::OnLoad(BackendServerId server,
                            const LoadReport& report,
                            TimePoint now) {
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -150,6 +150,13 @@
     return leaving_.Reports(now);
   }
 
+  /// Records for how long a server wants no requests from this host.
+  void OnWait(BackendServerId server, Duration wait, TimePoint now);
+  /// @return the time until the first of the servers that may run a request
+  ///     wants requests again; zero if one does now, or none may run it.
+  [[nodiscard]] Duration TimeUntilWanted(const PickRequest& request,
+                                         TimePoint now) const;
+
   void OnLoad(BackendServerId server, const LoadReport& report, TimePoint now);
   /// @param use running requests of all other hosts, summed by server.
   void OnPeerUse(const std::vector<BackendUse>& use, TimePoint now);
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -45,6 +45,13 @@
 
 constexpr double kColdBurst = 1.0;
 
+/// Longest time for which a server that wants no requests gets none. A server
+/// that still wants none after that says so again.
+constexpr Duration kMaxServerWait = std::chrono::seconds(60);
+
+/// Time after that in which the server gets one request at a time.
+constexpr Duration kReturnTime = std::chrono::seconds(1);
+
 }  // namespace
 
 BackendState::BackendState(const BackendEntry& entry, TimePoint now)
@@ -91,6 +98,7 @@
     objects_.clear();
     is_used_ = false;
     slowness_ = 1.0;
+    wait_until_ = TimePoint{};
     ForgetFailures();
   }
   if (entry.cold_for > Duration::zero())
@@ -172,6 +180,16 @@
   reported_at_ = now;
 }
 
+bool BackendState::IsHeldBack(TimePoint now) const {
+  if (wait_until_ == TimePoint{} || now >= wait_until_ + kReturnTime)
+    return false;
+  return now < wait_until_ || own_running_ > 0;
+}
+
+void BackendState::OnWait(Duration wait, TimePoint now) {
+  wait_until_ = std::max(wait_until_, now + std::min(wait, kMaxServerWait));
+}
+
 void BackendState::OnPeerUse(std::uint32_t running, TimePoint now) {
   peer_running_ = running;
   peer_use_at_ = now;
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -63,8 +63,14 @@
   /// @return whether this host has sent a request to this incarnation.
   [[nodiscard]] bool is_used() const { return is_used_; }
 
+  /// @return whether the server has asked this host for no requests, or did
+  ///     until a short time ago and one runs there already.
+  [[nodiscard]] bool IsHeldBack(TimePoint now) const;
+  /// @return when the time ends for which the server wants no requests.
+  [[nodiscard]] TimePoint wait_until() const { return wait_until_; }
+
   /// Replaces the entry. A new incarnation starts without a record of objects,
-  /// slowness, failures and ejections.
+  /// slowness, failures, ejections and waits.
   void Update(const BackendEntry& entry, TimePoint now);
   /// Marks a server that the registry no longer lists.
   void MarkRemoved() { is_removed_ = true; }
@@ -83,6 +89,8 @@
                   std::uint64_t object,
                   TimePoint now);
   void OnLoad(const LoadReport& report, TimePoint now);
+  /// Records for how long the server wants no requests from this host.
+  void OnWait(Duration wait, TimePoint now);
   void OnPeerUse(std::uint32_t running, TimePoint now);
 
   /// Takes a token from the bucket that limits the requests of this host to a
@@ -106,6 +114,7 @@
   std::uint32_t ejections_in_row_ = 0;
   TimePoint ejected_until_{};
   TimePoint failing_until_{};
+  TimePoint wait_until_{};
   TimePoint cold_until_{};
   double cold_tokens_ = 1.0;
   TimePoint cold_updated_{};
--- a/src/comfreyvane/edge/object_homes.cc
+++ b/src/comfreyvane/edge/object_homes.cc
@@ -67,7 +67,8 @@
                const PickRequest& request,
                HomeScope scope,
                TimePoint now) {
-  if (!slot.MayRun(request) || slot.state.IsCold(now))
+  if (!slot.MayRun(request) || slot.state.IsCold(now) ||
+      now < slot.state.wait_until())
     return false;
   // A server that is not reached has failed for this host only.
   if (slot.reach != ServerReach::kDirect && scope == HomeScope::kAll)
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -27,8 +27,9 @@
         {request.started, request.route->objective,
          context_.backends.ExpectedWarm(request.pick), request.deadline});
     const Duration wait =
-        std::max(queue_.ExpectedWait(service, request.urgency),
-                 LimitWaitOf(request.pick, now));
+        std::max({queue_.ExpectedWait(service, request.urgency),
+                  LimitWaitOf(request.pick, now),
+                  context_.backends.TimeUntilWanted(request.pick, now)});
     if (wait > expiry - now)
       co_return QueueRefusal(request, now);
     const auto waiter = std::make_shared<GatewayWaiter>(io_, request.pick);
@@ -163,7 +164,9 @@
                                    ? RefusalReason::kQueueFull
                                    : RefusalReason::kNoBackendServer;
   const Duration wait = queue_.ExpectedWait(service, request.urgency);
-  return {reason, RunState::kNotRun, RetryAfter(wait)};
+  const Duration until_wanted =
+      context_.backends.TimeUntilWanted(request.pick, now);
+  return {reason, RunState::kNotRun, std::max(RetryAfter(wait), until_wanted)};
 }
 
 void GatewayDispatcher::DrainQueue(ServiceId service, TimePoint now) {
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -373,6 +373,7 @@
     return;
   if (result.notice->is_leaving)
     peers_.OnLeavingAnswer({server, result.server_started_ms}, now);
+  RecordWait(server, *result.notice, now);
   const NamedLimit& limit = result.notice->limit;
   // A server that did not run a request says nothing about the end of a limit.
   if (limit.state == NamedLimit::State::kAbsent &&
@@ -387,6 +388,21 @@
         {{"server", NameOf(server)}});
 }
 
+void GatewayHandler::RecordWait(BackendServerId server,
+                                const ServerNotice& notice,
+                                TimePoint now) {
+  if (notice.wait > Duration::zero())
+    context_.backends.OnWait(server, notice.wait, now);
+  const bool is_stated = notice.wait > Duration::zero();
+  if ((is_stated || notice.has_unreadable_wait) &&
+      context_.attempt_lines.TryTake(now)) {
+    Log(LogLevel::kInfo,
+        is_stated ? EventName("server-wait")
+                  : EventName("server-wait-unreadable"),
+        {{"server", NameOf(server)}, {"wait_ms", notice.wait}});
+  }
+}
+
 void GatewayHandler::RecordRefusal(const GatewayRequest& request,
                                    const Refusal& refusal,
                                    TimePoint now) {
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -183,6 +183,9 @@
                     const CallResult& result,
                     TimePoint sent_at,
                     TimePoint now);
+  void RecordWait(BackendServerId server,
+                  const ServerNotice& notice,
+                  TimePoint now);
   void RecordRefusal(const GatewayRequest& request,
                      const Refusal& refusal,
                      TimePoint now);
--- a/src/comfreyvane/gateway/path_supervisor.cc
+++ b/src/comfreyvane/gateway/path_supervisor.cc
@@ -98,7 +98,7 @@
 bool PathSupervisor::CanProbe(BackendServerId server, TimePoint now) const {
   const BackendState* const state = context_.backends.Find(server);
   return state != nullptr && !state->is_leaving() && !state->IsCold(now) &&
-         !context_.backends.IsEvacuated(server) &&
+         !state->IsHeldBack(now) && !context_.backends.IsEvacuated(server) &&
          !context_.backends.LimitOf(server);
 }
 
--- a/tests/comfreyvane/edge/backend_picker_test.cc
+++ b/tests/comfreyvane/edge/backend_picker_test.cc
@@ -364,3 +364,42 @@
   picker.OnLeaving({entry.id(), 1}, kStart);
   cr_expect(picker.Pick(RequestFor(5), kStart).has_value());
 }
+
+Test(backend_picker, a_server_that_wants_no_requests_gets_none_for_so_long) {
+  BackendPicker picker = PickerInWest();
+  BackendEntry entry = EntryOf("a", "west-a");
+  entry.started_ms = 1;
+  picker.Upsert(entry, kStart);
+  const PickRequest request = RequestFor(5);
+  const auto choice = picker.Pick(request, kStart);
+  cr_assert(choice.has_value());
+  picker.OnWait(entry.id(), seconds(4), kStart);
+  // A shorter wait that another answer states does not end it.
+  picker.OnWait(entry.id(), seconds(1), kStart);
+  cr_expect(!picker.OnStarted(*choice, kStart), "chosen before");
+  const TimePoint end = kStart + seconds(4);
+  cr_expect(!picker.Pick(request, end - Duration(1)));
+  cr_expect(picker.TimeUntilWanted(request, kStart) == seconds(4));
+  // Then it gets one request at a time for a while.
+  const auto first = picker.Pick(request, end);
+  cr_assert(first.has_value());
+  cr_expect(picker.OnStarted(*first, end));
+  cr_expect(!picker.Pick(request, end));
+  cr_expect(picker.Pick(request, end + seconds(1)).has_value());
+  cr_expect(picker.TimeUntilWanted(request, end) == Duration::zero());
+}
+
+Test(backend_picker, a_wait_ends_with_the_incarnation_and_has_a_bound) {
+  BackendPicker picker = PickerInWest();
+  BackendEntry entry = EntryOf("a", "west-a");
+  entry.started_ms = 1;
+  picker.Upsert(entry, kStart);
+  const PickRequest request = RequestFor(5);
+  picker.OnWait(entry.id(), std::chrono::hours(24), kStart);
+  cr_expect(!picker.Pick(request, kStart + seconds(59)));
+  cr_expect(picker.Pick(request, kStart + seconds(60)).has_value());
+  picker.OnWait(entry.id(), seconds(4), kStart + seconds(60));
+  entry.started_ms = 2;
+  picker.Upsert(entry, kStart + seconds(61));
+  cr_expect(picker.Pick(request, kStart + seconds(61)).has_value());
+}
--- a/tests/platform/gateway_platform_test.cc
+++ b/tests/platform/gateway_platform_test.cc
@@ -49,3 +49,22 @@
   cr_expect(is_leaving("true"));
   cr_expect(!is_leaving("0"));
 }
+
+Test(gateway_platform, reads_for_how_long_a_server_wants_no_requests) {
+  const auto read = [](unsigned status, const char* value) {
+    boost::beast::http::response_header<> head;
+    head.result(status);
+    head.set("retry-after", value);
+    return GatewayPlatform::NoticeOf(head);
+  };
+  cr_expect(read(503, "4").wait == std::chrono::seconds(4));
+  cr_expect(read(503, "0.25").wait == std::chrono::milliseconds(250));
+  cr_expect(read(503, "0").wait == Duration::zero());
+  cr_expect(read(503, "1e300").wait == std::chrono::hours(24));
+  cr_expect(read(200, "4").wait == Duration::zero());
+  for (const char* text :
+       {"", "soon", "-1", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    cr_expect(read(503, text).wait == Duration::zero(), "%s", text);
+    cr_expect(read(503, text).has_unreadable_wait, "%s", text);
+  }
+}
