--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -45,8 +45,8 @@
 
 constexpr double kColdBurst = 1.0;
 
-/// Longest time for which a server that wants no requests gets none. A server
-/// that still wants none after that says so again.
+/// Upper bound on the time that a server states. One that is still overloaded
+/// after it states another.
 constexpr Duration kMaxServerWait = std::chrono::seconds(60);
 
 /// Time after that in which the server gets one request at a time.
--- a/src/comfreyvane/edge/feed_schedule.cc
+++ b/src/comfreyvane/edge/feed_schedule.cc
@@ -237,7 +237,8 @@
 bool FeedSchedule::IsCutOff(TimePoint now) const {
   const TableProgress& progress = Progress(StoreTable::kOperator);
   return progress.failures > 0 && !progress.needs_snapshot &&
-         now - progress.store_answered_at > kMaxWait[0] + kPatience;
+         now - progress.store_answered_at >
+             kMaxWait[IndexOf(StoreTable::kOperator)] + kPatience;
 }
 
 std::optional<TimePoint> FeedSchedule::SilentSince(StoreTable table) const {
@@ -245,9 +246,4 @@
   return open.size() > 1 ? std::optional(open.front().begun) : std::nullopt;
 }
 
-Duration FeedSchedule::Age(StoreTable table, TimePoint now) const {
-  const TimePoint answered_at = Progress(table).answered_at;
-  return answered_at == TimePoint{} ? Duration::max() : now - answered_at;
-}
-
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/feed_schedule.h
+++ b/src/comfreyvane/edge/feed_schedule.h
@@ -90,9 +90,6 @@
   [[nodiscard]] Revision position(StoreTable table) const {
     return Progress(table).position;
   }
-  /// @return how long ago the table's last answer came; maximum if there was
-  ///     none.
-  [[nodiscard]] Duration Age(StoreTable table, TimePoint now) const;
 
   /// Pause after changes, so that the next answer batches those that follow.
   static constexpr Duration kBatchPause = std::chrono::milliseconds(350);
--- a/src/comfreyvane/edge/leaving_servers.cc
+++ b/src/comfreyvane/edge/leaving_servers.cc
@@ -25,21 +25,21 @@
 std::vector<LeavingReport> LeavingServers::Reports(TimePoint now) const {
   std::vector<std::pair<TimePoint, LeavingReport>> recent;
   for (const auto& [server, record] : records_) {
-    if (now - record.heard_at < kReportTime)
-      recent.push_back({record.heard_at, {server, record.started_ms}});
+    if (now - record.received_at < kReportTime)
+      recent.push_back({record.received_at, {server, record.started_ms}});
   }
   std::sort(recent.begin(), recent.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
   recent.resize(std::min(recent.size(), kMaxReports));
   std::vector<LeavingReport> reports;
-  for (const auto& [heard_at, report] : recent)
+  for (const auto& [received_at, report] : recent)
     reports.push_back(report);
   return reports;
 }
 
 void LeavingServers::Prune(TimePoint now) {
   std::erase_if(records_, [now](const auto& row) {
-    return now - row.second.heard_at >= kRetention;
+    return now - row.second.received_at >= kRetention;
   });
 }
 
--- a/src/comfreyvane/edge/leaving_servers.h
+++ b/src/comfreyvane/edge/leaving_servers.h
@@ -35,15 +35,15 @@
 
   /// Longer than a server that leaves keeps on running.
   static constexpr Duration kRetention = std::chrono::minutes(10);
-  /// Long enough for several heartbeats to each region, and for hosts that
-  /// start to hear of servers that are still running.
+  /// Long enough for several heartbeats to each region and to hosts that start
+  /// meanwhile.
   static constexpr Duration kReportTime = std::chrono::seconds(15);
   static constexpr std::size_t kMaxReports = 40;
 
  private:
   struct Record {
     std::int64_t started_ms = 0;
-    TimePoint heard_at{};
+    TimePoint received_at{};
   };
   std::unordered_map<BackendServerId, Record> records_;
 };
--- a/tests/support/feed_fleet.h
+++ b/tests/support/feed_fleet.h
@@ -117,7 +117,7 @@
     Kill(host);
     Start(host);
   }
-  /// A frozen host answers nobody; its calls go on afterwards.
+  /// A frozen host answers no calls, and continues its own afterwards.
   void SetFrozen(std::size_t host, bool frozen) {
     hosts_[host]->frozen = frozen;
     if (!frozen)
