--- a/src/comfreyvane/edge/leaving_servers.cc
+++ b/src/comfreyvane/edge/leaving_servers.cc
@@ -32,6 +32,7 @@
             [](const auto& a, const auto& b) { return a.first > b.first; });
   recent.resize(std::min(recent.size(), kMaxReports));
   std::vector<LeavingReport> reports;
+  reports.reserve(recent.size());
   for (const auto& [received_at, report] : recent)
     reports.push_back(report);
   return reports;
