--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -277,9 +277,9 @@
     // On a connection in use before, an answer without an id may be a copy of
     // an earlier refusal.
     const bool matches =
-        id == request.id || (id.empty() && !result.used_open_connection &&
-                             stray == 0 &&
-                             head.count(context_.headers.not_run) > 0);
+        id == request.id ||
+        (id.empty() && !result.used_open_connection && stray == 0 &&
+         head.count(context_.headers.not_run) > 0);
     if (matches)
       break;
     // This is the answer to an earlier request on the connection.
