--- a/tests/comfreyvane/edge/feed_fleet_test.cc
+++ b/tests/comfreyvane/edge/feed_fleet_test.cc
@@ -60,7 +60,7 @@
 
 }  // namespace
 
-Test(feed_fleet, follows_a_calm_store, .timeout = 300) {
+Test(feed_fleet, follows_a_calm_store) {
   PlayFleets([](FeedFleet& fleet) {
     for (int i = 0; i < 5; ++i) {
       WriteVersions(fleet);
@@ -69,7 +69,7 @@
   });
 }
 
-Test(feed_fleet, follows_a_store_after_a_silence, .timeout = 300) {
+Test(feed_fleet, follows_a_store_after_a_silence) {
   for (const int span : {200, 900, 2600, 8500}) {
     PlayFleets([span](FeedFleet& fleet) {
       fleet.SetSilent(true);
@@ -81,7 +81,7 @@
   }
 }
 
-Test(feed_fleet, follows_after_a_silence_of_one_table, .timeout = 300) {
+Test(feed_fleet, follows_after_a_silence_of_one_table) {
   for (const StoreTable table : kAllStoreTables) {
     for (const int span : {200, 3200}) {
       PlayFleets([table, span](FeedFleet& fleet) {
@@ -95,9 +95,7 @@
   }
 }
 
-Test(feed_fleet,
-     follows_after_a_silence_in_which_hosts_restart,
-     .timeout = 300) {
+Test(feed_fleet, follows_after_a_silence_in_which_hosts_restart) {
   PlayFleets([](FeedFleet& fleet) {
     fleet.SetSilent(true);
     fleet.Run(seconds(3));
@@ -112,7 +110,7 @@
   });
 }
 
-Test(feed_fleet, follows_a_store_that_was_restored, .timeout = 300) {
+Test(feed_fleet, follows_a_store_that_was_restored) {
   for (const std::uint64_t back : {6, 38}) {
     PlayFleets([back](FeedFleet& fleet) {
       fleet.Touch(60);
@@ -125,7 +123,7 @@
   }
 }
 
-Test(feed_fleet, follows_a_restored_store_while_hosts_start, .timeout = 300) {
+Test(feed_fleet, follows_a_restored_store_while_hosts_start) {
   PlayFleets([](FeedFleet& fleet) {
     fleet.Touch(60);
     fleet.Run(seconds(2));
@@ -137,7 +135,7 @@
   });
 }
 
-Test(feed_fleet, follows_a_store_that_forgets, .timeout = 300) {
+Test(feed_fleet, follows_a_store_that_forgets) {
   PlayFleets([](FeedFleet& fleet) {
     fleet.SetSilent(true);
     fleet.Run(milliseconds(1200));
@@ -149,7 +147,7 @@
   });
 }
 
-Test(feed_fleet, follows_a_slow_store, .timeout = 300) {
+Test(feed_fleet, follows_a_slow_store) {
   PlayFleets([](FeedFleet& fleet) {
     fleet.latency = milliseconds(200);
     fleet.Run(seconds(2));
@@ -158,7 +156,7 @@
   });
 }
 
-Test(feed_fleet, follows_when_hosts_are_killed, .timeout = 300) {
+Test(feed_fleet, follows_when_hosts_are_killed) {
   PlayFleets([](FeedFleet& fleet) {
     // The relays are among the first hosts of each failure domain.
     for (std::size_t i = 0; i < fleet.size(); i += 2)
@@ -168,7 +166,7 @@
   });
 }
 
-Test(feed_fleet, follows_when_hosts_freeze, .timeout = 300) {
+Test(feed_fleet, follows_when_hosts_freeze) {
   PlayFleets([](FeedFleet& fleet) {
     std::set<std::size_t> frozen;
     for (std::size_t i = 0; i < fleet.size(); i += 2)
@@ -184,7 +182,7 @@
   });
 }
 
-Test(feed_fleet, follows_when_hosts_freeze_in_a_silence, .timeout = 300) {
+Test(feed_fleet, follows_when_hosts_freeze_in_a_silence) {
   PlayFleets([](FeedFleet& fleet) {
     std::set<std::size_t> frozen;
     for (std::size_t i = 0; i < fleet.size(); i += 2)
@@ -199,7 +197,7 @@
   });
 }
 
-Test(feed_fleet, follows_through_others_when_turned_away, .timeout = 300) {
+Test(feed_fleet, follows_through_others_when_turned_away) {
   PlayFleets([](FeedFleet& fleet) {
     for (std::size_t i = 0; i < fleet.size(); ++i) {
       if (i % 3 == 0)
@@ -211,7 +209,7 @@
   });
 }
 
-Test(feed_fleet, calls_the_store_within_its_rate, .timeout = 300) {
+Test(feed_fleet, calls_the_store_within_its_rate) {
   // Without relays each host calls for itself.
   FeedFleet fleet({.hosts = 300, .domains = 300, .seed = 1});
   fleet.Run(seconds(5));
