--- a/review/standins/gateway.h
+++ b/review/standins/gateway.h
@@ -4,7 +4,6 @@
 #define REVIEW_STANDINS_GATEWAY_H_
 
 #include <fcntl.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <csignal>
@@ -41,7 +40,11 @@
           const std::string& name,
           const std::string& zone,
           std::uint16_t store)
-      : front_(FreePort()), readiness_(FreePort()), log_(folder + "/" + name) {
+      : front_(FreePort()),
+        readiness_(FreePort()),
+        directory_(FreePort()),
+        log_(folder + "/" + name),
+        processes_(folder + "/processes") {
     const std::string settings = folder + "/" + name + ".ini";
     const auto at = [](std::uint16_t port) {
       return "127.0.0.1:" + std::to_string(port) + "\n";
@@ -51,7 +54,7 @@
         << "\nregion = west\nmemory_mb = 260\nprocessor_share = 0.2\n"
         << "[domains]\nwest-a = west\nwest-b = west\n[listen]\ncallers = "
         << at(front_) << "readiness = " << at(readiness_)
-        << "lookups = " << at(FreePort()) << "peers = " << at(FreePort())
+        << "lookups = " << at(directory_) << "peers = " << at(FreePort())
         << "metrics = " << at(FreePort())
         << "[platform]\naddress = " << at(store)
         << "[stop]\ngrace_s = 6\n[lookups]\nmost_ttl_s = 5\n"
@@ -69,7 +72,7 @@
   Gateway& operator=(const Gateway&) = delete;
 
   [[nodiscard]] std::uint16_t front() const { return front_; }
-  [[nodiscard]] pid_t process() const { return process_; }
+  [[nodiscard]] std::uint16_t directory() const { return directory_; }
 
   void Signal(int signal) const { kill(process_, signal); }
 
@@ -115,10 +118,11 @@
     process_ = fork();
     if (process_ < 0)
       throw std::runtime_error("no process");
-    if (process_ > 0)
+    if (process_ > 0) {
+      // For the script, should the case be killed.
+      std::ofstream(processes_, std::ios::app) << process_ << '\n';
       return;
-    // A case that is killed leaves no process behind.
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    }
     const int log = open((log_ + ".log").c_str(),
                          O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
@@ -131,7 +135,9 @@
 
   std::uint16_t front_;
   std::uint16_t readiness_;
+  std::uint16_t directory_;
   std::string log_;
+  std::string processes_;
   pid_t process_ = 0;
 };
 
