review: scripts signal only processes that run

Cause: a machine that could not start would have been sent its signal as process 0, which is the whole group; not seen.

--- a/review/standins/gateway.h
+++ b/review/standins/gateway.h
@@ -74,7 +74,11 @@
   [[nodiscard]] std::uint16_t front() const { return front_; }
   [[nodiscard]] std::uint16_t directory() const { return directory_; }
 
-  void Signal(int signal) const { kill(process_, signal); }
+  /// Sends a signal to the process, if it runs.
+  void Signal(int signal) const {
+    if (process_ > 0)
+      kill(process_, signal);
+  }
 
   /// @return whether the process has ended.
   [[nodiscard]] bool HasEnded() {
