Keep the last change of each row for hosts that follow through another

Cause, in part: the log of changes kept 1 MB of every version, so that two versions of 0.8 MB did not fit. A later change of a row replaces the earlier ones, and the newest is kept whatever its size.

--- a/src/comfreyvane/edge/feed_log.cc
+++ b/src/comfreyvane/edge/feed_log.cc
@@ -9,7 +9,8 @@
   is_started_ = true;
   oldest_ = position;
   position_ = position;
-  batches_.clear();
+  changes_.clear();
+  by_key_.clear();
   bytes_ = 0;
 }
 
@@ -20,17 +21,17 @@
 
 void FeedLog::Add(const TableFeed& feed) {
   position_ = std::max(position_, feed.position);
-  if (feed.rows.empty())
-    return;
-  Batch batch{feed.position, feed.rows};
-  for (const TableRow& row : batch.rows)
-    batch.bytes += sizeof(TableRow) + row.key.size() + row.value.size();
-  bytes_ += batch.bytes;
-  batches_.push_back(std::move(batch));
-  while (bytes_ > max_bytes_) {
-    oldest_ = batches_.front().position;
-    bytes_ -= batches_.front().bytes;
-    batches_.pop_front();
+  for (const TableRow& row : feed.rows) {
+    if (const auto earlier = by_key_.find(row.key); earlier != by_key_.end())
+      Erase(changes_.find(earlier->second));
+    const Place place{feed.position, ++last_number_};
+    by_key_.emplace(row.key, place);
+    changes_.emplace(place, row);
+    bytes_ += BytesOf(row);
+  }
+  while (bytes_ > max_bytes_ && changes_.begin()->first.position < position_) {
+    oldest_ = changes_.begin()->first.position;
+    Erase(changes_.begin());
   }
 }
 
@@ -40,11 +41,21 @@
   TableFeed feed;
   feed.status = TableStatus::kDone;
   feed.position = position_;
-  for (const Batch& batch : batches_) {
-    if (position < batch.position)
-      feed.rows.insert(feed.rows.end(), batch.rows.begin(), batch.rows.end());
+  for (const auto& [place, row] : changes_) {
+    if (position < place.position)
+      feed.rows.push_back(row);
   }
   return feed;
 }
 
+std::size_t FeedLog::BytesOf(const TableRow& row) {
+  return sizeof(TableRow) + row.key.size() + row.value.size();
+}
+
+void FeedLog::Erase(std::map<Place, TableRow>::iterator change) {
+  bytes_ -= BytesOf(change->second);
+  by_key_.erase(change->second.key);
+  changes_.erase(change);
+}
+
 }  // namespace comfreyvane
--- a/src/comfreyvane/edge/feed_log.h
+++ b/src/comfreyvane/edge/feed_log.h
@@ -4,9 +4,9 @@
 #define COMFREYVANE_EDGE_FEED_LOG_H_
 
 #include <cstddef>
-#include <deque>
+#include <map>
 #include <optional>
-#include <vector>
+#include <string>
 
 #include "comfreyvane/base/revision.h"
 #include "comfreyvane/storage/table_feed.h"
@@ -14,11 +14,13 @@
 
 namespace comfreyvane {
 
-/// Stores the recent changes of one table as received from the store, so that
-/// other hosts can follow the table through this host.
+/// Stores the last change of each row of one table, as received from the store,
+/// so that other hosts can follow the table through this host. Earlier changes
+/// of a row are dropped: its last one replaces them.
 class FeedLog {
  public:
-  /// @param max_bytes size limit of the stored rows.
+  /// @param max_bytes size limit of the stored rows. The newest change is kept
+  ///     whatever its size.
   explicit FeedLog(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
   /// Clears the log and continues from the position of a full read of the
@@ -39,18 +41,25 @@
   [[nodiscard]] Revision position() const { return position_; }
 
  private:
-  struct Batch {
-    Revision position;  ///< After the batch.
-    std::vector<TableRow> rows;
-    std::size_t bytes = 0;
+  /// Place of a change: the position after its batch, and a running number.
+  struct Place {
+    Revision position;
+    std::size_t number = 0;
+
+    friend auto operator<=>(const Place&, const Place&) = default;
   };
 
+  [[nodiscard]] static std::size_t BytesOf(const TableRow& row);
+  void Erase(std::map<Place, TableRow>::iterator change);
+
   std::size_t max_bytes_;
   std::size_t bytes_ = 0;
+  std::size_t last_number_ = 0;
   bool is_started_ = false;
   Revision oldest_;  ///< The log holds all changes after this position.
   Revision position_;
-  std::deque<Batch> batches_;
+  std::map<Place, TableRow> changes_;
+  std::map<std::string, Place> by_key_;
 };
 
 }  // namespace comfreyvane
