Do not take an answer that is arriving for a silent call

Cause: a call was silent 400 ms after its wait, and given up a second after it, whatever had arrived. A version of 1.1 MB takes 0.9 s over a link of 10 Mbit/s, so another call joined it, shared the link and made both slower; relays lost their followers in the same way, which then called the store, all at once. All 78 hosts with slow links received at the rate of the link for up to 23 s.

Now each part of an answer that arrives extends the call, in HttpClient, and makes it no silent one, in FeedSchedule; for a relay's answer likewise. An answer that stalls for 400 ms is silent as before.

In large_configuration_test two of three cases are green; before, hosts of each fleet were late (2 of 8, 48 of 60, 288 of 300), and one received 7.3 MB in 6 s. The third, two versions within a second at 300 hosts, is red still: one relay's link is too slow for 49 followers.

--- a/src/comfreyvane/edge/feed_call.h
+++ b/src/comfreyvane/edge/feed_call.h
@@ -17,6 +17,7 @@
   Revision position;         ///< Asks for the changes after it.
   Duration wait{};           ///< How long the store may wait for a change.
   TimePoint begun{};
+  TimePoint received_at{};  ///< When the last part of its answer arrived.
 
   friend bool operator==(const FeedCall&, const FeedCall&) = default;
 };
--- a/src/comfreyvane/edge/feed_schedule.cc
+++ b/src/comfreyvane/edge/feed_schedule.cc
@@ -47,8 +47,20 @@
 }
 
 TimePoint FeedSchedule::OverdueAt(const FeedCall& call) {
-  return call.begun + call.wait +
-         (call.is_snapshot ? kSnapshotPatience : kPatience);
+  return std::max(call.begun + call.wait +
+                      (call.is_snapshot ? kSnapshotPatience : kPatience),
+                  call.received_at == TimePoint{}
+                      ? TimePoint{}
+                      : call.received_at + kPatience);
+}
+
+TimePoint FeedSchedule::OverdueAt(const TableProgress& progress) {
+  TimePoint overdue = OverdueAt(progress.open.back());
+  for (const FeedCall& call : progress.open) {
+    if (call.received_at != TimePoint{})
+      overdue = std::max(overdue, OverdueAt(call));
+  }
+  return overdue;
 }
 
 TimePoint FeedSchedule::NextCallAt(StoreTable table, TimePoint now) const {
@@ -62,7 +74,7 @@
   else if (is_relayed)
     next = relayed_until_;
   else if (!progress.open.empty() && !progress.is_suspect)
-    next = std::max(next, OverdueAt(progress.open.back()));
+    next = std::max(next, OverdueAt(progress));
   return std::min(next, progress.reread_at);
 }
 
@@ -74,8 +86,7 @@
     progress.needs_snapshot = true;
     progress.open.clear();
   }
-  const bool is_silent =
-      !progress.open.empty() && now >= OverdueAt(progress.open.back());
+  const bool is_silent = !progress.open.empty() && now >= OverdueAt(progress);
   if (is_silent) {
     ++progress.silences;
     SuspectHeldCalls(now);
@@ -103,7 +114,8 @@
   for (TableProgress& progress : tables_) {
     const bool is_held = !progress.open.empty() &&
                          progress.open.back().wait > kCheckWait &&
-                         now < OverdueAt(progress.open.back());
+                         progress.open.back().received_at == TimePoint{} &&
+                         now < OverdueAt(progress);
     if (is_held)
       progress.is_suspect = true;
   }
@@ -122,6 +134,18 @@
   progress.next_call_at = now + RetryPause(progress.failures);
 }
 
+void FeedSchedule::OnProgress(StoreTable table,
+                              const FeedCall& call,
+                              TimePoint now) {
+  TableProgress& progress = Progress(table);
+  for (FeedCall& open : progress.open) {
+    if (open.id != call.id)
+      continue;
+    open.received_at = now;
+    progress.is_suspect = false;
+  }
+}
+
 FeedVerdict FeedSchedule::OnAnswer(StoreTable table,
                                    const FeedCall& call,
                                    const TableFeed& feed,
@@ -207,6 +231,11 @@
   return true;
 }
 
+void FeedSchedule::OnRelayProgress(TimePoint now) {
+  if (now < relayed_until_)
+    relayed_until_ = std::max(relayed_until_, now + kPatience);
+}
+
 void FeedSchedule::OnRelayLost(TimePoint now) {
   if (now >= relayed_until_)
     return;
--- a/src/comfreyvane/edge/feed_schedule.h
+++ b/src/comfreyvane/edge/feed_schedule.h
@@ -29,7 +29,8 @@
 /// awaited on its own: a call that is silent for longer than it may be is
 /// joined by another, and the held calls for the other tables are checked by a
 /// call that the store answers almost at once. The first answer counts, so that
-/// a slow store is followed too.
+/// a slow store is followed too. A call whose answer is arriving is not silent,
+/// however long the answer takes: another call would have to share the link.
 class FeedSchedule {
  public:
   explicit FeedSchedule(std::uint64_t seed) : random_(seed) {}
@@ -45,6 +46,9 @@
   ///     may be.
   [[nodiscard]] std::optional<TimePoint> SilentSince(StoreTable table) const;
 
+  /// Records that a part of the answer to a call has arrived.
+  void OnProgress(StoreTable table, const FeedCall& call, TimePoint now);
+
   /// Records the result of a call. The caller applies the rows if the verdict
   /// says so.
   [[nodiscard]] FeedVerdict OnAnswer(StoreTable table,
@@ -62,6 +66,9 @@
                                Revision position,
                                TimePoint now);
 
+  /// Records that a part of another host's answer has arrived.
+  void OnRelayProgress(TimePoint now);
+
   /// Records that no host relays the store, so that it is called at once.
   void OnRelayLost(TimePoint now);
 
@@ -143,6 +150,9 @@
   [[nodiscard]] bool IsRelay(TimePoint now) const;
   [[nodiscard]] Duration MaxWait(StoreTable table, TimePoint now) const;
   [[nodiscard]] static TimePoint OverdueAt(const FeedCall& call);
+  /// @return when the open calls for a table are silent.
+  /// @pre there are open calls.
+  [[nodiscard]] static TimePoint OverdueAt(const TableProgress& progress);
   void SuspectHeldCalls(TimePoint now);
   void OnFailure(TableProgress& progress, TimePoint now);
   [[nodiscard]] Duration RetryPause(int failures);
--- a/src/comfreyvane/gateway/relay_client.cc
+++ b/src/comfreyvane/gateway/relay_client.cc
@@ -24,8 +24,10 @@
 
 }  // namespace
 
-asio::awaitable<RelayAnswer> RelayClient::RequestChanges(FleetHost host,
-                                                         RelayCall call) {
+asio::awaitable<RelayAnswer> RelayClient::RequestChanges(
+    FleetHost host,
+    RelayCall call,
+    std::function<void()> on_progress) {
   HttpClient* const client = GetClient(host);
   if (client == nullptr)
     co_return RelayAnswer{};
@@ -36,8 +38,9 @@
   const std::string target = request.target;
   request.fields = {{std::string(kRelayAuthHeader),
                      authenticator.Sign(kRelayCallStamp, target)}};
-  const HttpCallResult result = co_await client->Call(
-      std::move(request), MonotonicNow() + call.wait + kMargin);
+  const HttpCallResult result = co_await client->CallForLarge(
+      std::move(request), MonotonicNow() + call.wait + kMargin,
+      std::move(on_progress));
   if (result.status != HttpCallStatus::kAnswered)
     co_return RelayAnswer{};
   // The first line of the body is the authentication code.
--- a/src/comfreyvane/gateway/relay_client.h
+++ b/src/comfreyvane/gateway/relay_client.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_GATEWAY_RELAY_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -29,8 +30,11 @@
 
   /// Sends a call and waits for its answer.
   /// @param call the call; its nonce is overwritten.
-  [[nodiscard]] asio::awaitable<RelayAnswer> RequestChanges(FleetHost host,
-                                                            RelayCall call);
+  /// @param on_progress called when a part of the answer has arrived.
+  [[nodiscard]] asio::awaitable<RelayAnswer> RequestChanges(
+      FleetHost host,
+      RelayCall call,
+      std::function<void()> on_progress);
 
  private:
   [[nodiscard]] HttpClient* GetClient(const FleetHost& host);
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -150,10 +150,14 @@
 
   [[nodiscard]] asio::awaitable<void> Run(StoreTable table, FeedCall call) {
     TableFeed feed;
+    const auto on_progress = [this, table, call] {
+      schedule_.OnProgress(table, call, MonotonicNow());
+    };
     if (call.is_snapshot)
-      feed = co_await store_.Read(table);
+      feed = co_await store_.Read(table, on_progress);
     else
-      feed = co_await store_.Follow(table, call.position, call.wait);
+      feed =
+          co_await store_.Follow(table, call.position, call.wait, on_progress);
     const TimePoint now = MonotonicNow();
     const std::uint64_t era = schedule_.era();
     switch (schedule_.OnAnswer(table, call, feed, now)) {
@@ -201,8 +205,8 @@
       RelayCall call{0, schedule_.era(), FeedSchedule::kMaxRelayWait, {}};
       for (const StoreTable table : kAllStoreTables)
         call.positions[IndexOf(table)] = schedule_.position(table);
-      const RelayAnswer answer =
-          co_await relay_client_.RequestChanges(*host, call);
+      const RelayAnswer answer = co_await relay_client_.RequestChanges(
+          *host, call, [this] { schedule_.OnRelayProgress(MonotonicNow()); });
       const TimePoint now = MonotonicNow();
       if (answer.era > schedule_.era())
         AcceptEra(answer.era, now);
--- a/src/comfreyvane/net/http_client.cc
+++ b/src/comfreyvane/net/http_client.cc
@@ -90,6 +90,20 @@
 
 asio::awaitable<HttpCallResult> HttpClient::Call(HttpCall call,
                                                  TimePoint deadline) {
+  return Send(std::move(call), deadline, nullptr);
+}
+
+asio::awaitable<HttpCallResult> HttpClient::CallForLarge(
+    HttpCall call,
+    TimePoint deadline,
+    std::function<void()> on_progress) {
+  return Send(std::move(call), deadline, std::move(on_progress));
+}
+
+asio::awaitable<HttpCallResult> HttpClient::Send(
+    HttpCall call,
+    TimePoint deadline,
+    std::function<void()> on_progress) {
   ConnectionPtr connection = TakeIdle();
   if (!connection)
     connection = co_await Open(deadline);
@@ -104,10 +118,19 @@
     co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
   http::response_parser<http::string_body> parser;
   parser.body_limit(kAnswerBytes);
-  const auto [read_error, read] = co_await http::async_read(
-      connection->socket, connection->buffer, parser, kAwait);
-  if (read_error)
-    co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
+  const TimePoint last = on_progress ? deadline + kMaxTransferTime : deadline;
+  while (!parser.is_done()) {
+    const auto [error, size] = co_await http::async_read_some(
+        connection->socket, connection->buffer, parser, kAwait);
+    const TimePoint now = MonotonicNow();
+    if (error || now >= last)
+      co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
+    if (!on_progress)
+      continue;
+    on_progress();
+    connection->watchdog.Arm(
+        std::min(last, std::max(deadline, now + kStallTimeout)));
+  }
   connection->watchdog.Disarm();
   if (parser.get().keep_alive() && idle_.size() < kIdleConnections)
     idle_.push_back(std::move(connection));
--- a/src/comfreyvane/net/http_client.h
+++ b/src/comfreyvane/net/http_client.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -30,6 +31,19 @@
   [[nodiscard]] asio::awaitable<HttpCallResult> Call(HttpCall call,
                                                      TimePoint deadline);
 
+  /// The same for a call whose answer may be large. While parts of the answer
+  /// arrive, the deadline is extended, by kMaxTransferTime at most.
+  /// @param on_progress called when a part of the answer has arrived.
+  [[nodiscard]] asio::awaitable<HttpCallResult> CallForLarge(
+      HttpCall call,
+      TimePoint deadline,
+      std::function<void()> on_progress);
+
+  /// Time without a part of an answer after which it is given up.
+  static constexpr Duration kStallTimeout = std::chrono::milliseconds(400);
+  /// Time beyond the deadline within which an answer must be complete.
+  static constexpr Duration kMaxTransferTime = std::chrono::seconds(20);
+
   [[nodiscard]] const tcp::endpoint& server() const { return server_; }
 
  private:
@@ -38,6 +52,9 @@
 
   [[nodiscard]] ConnectionPtr TakeIdle();
   [[nodiscard]] asio::awaitable<ConnectionPtr> Open(TimePoint deadline);
+  /// @param on_progress empty if the deadline is not extended.
+  [[nodiscard]] asio::awaitable<HttpCallResult>
+  Send(HttpCall call, TimePoint deadline, std::function<void()> on_progress);
 
   asio::io_context& io_;
   TimeoutSweeper& sweeper_;
