Check what a request is sent by at the moment of sending

Cause: a host knew that its table was not confirmed, and for how long, but no decision asked for it; and regions, route, key and server were decided once, at arrival or when the server was chosen, and not looked at again.

Now each answer of the store or of a relay confirms the operator's table as of a time, which relays state; a request that is bound to regions is sent only while that is within the platform's bound, and refused as not run otherwise. Requests that wait or are tried again are resolved again when the configuration has changed, and right before the send the server's entry, its region and the configuration are checked once more. An unknown region is none of a bound request's.

bound_requests plays 8, 60 and 300 hosts with hosts that the store turns away and lost answers; two of its three cases were red before. The third is red for 300 hosts while large versions take 2.2 s from a relay. region_bound_choices draws entries and changes between choice and send at random. Hosts of earlier builds ignore the new member of relayed answers, and without it the longest age of a relay is assumed.

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -234,6 +234,21 @@
   return !state.IsCold(now) || state.HasColdToken(slot.cold_rate, now);
 }
 
+bool BackendPicker::MaySend(const BackendEntry& entry,
+                            const PickRequest& request) const {
+  const auto found = states_.find(entry.id());
+  if (found == states_.end())
+    return false;
+  const ServerSlot& slot = *found->second;
+  const BackendEntry& current = slot.state.entry();
+  const bool is_same = current.address == entry.address &&
+                       current.port == entry.port &&
+                       current.service == entry.service &&
+                       current.started_ms == entry.started_ms;
+  return is_same && !slot.state.is_leaving() && !slot.is_evacuated &&
+         request.MayRunIn(slot.region);
+}
+
 bool BackendPicker::OnStarted(const BackendChoice& choice, TimePoint now) {
   const auto found = states_.find(choice.server);
   if (found == states_.end())
--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -110,6 +110,11 @@
   [[nodiscard]] std::optional<BackendChoice> Pick(const PickRequest& request,
                                                   TimePoint now) const;
 
+  /// @return whether a request may still be sent to a server by an entry that
+  ///     was read when the server was chosen.
+  [[nodiscard]] bool MaySend(const BackendEntry& entry,
+                             const PickRequest& request) const;
+
   /// Counts a request that is about to be sent.
   /// @return false if the server has been removed, drained or evacuated since
   ///     the choice, or is cold and its rate is used up. The request is not
--- a/src/comfreyvane/edge/feed_schedule.cc
+++ b/src/comfreyvane/edge/feed_schedule.cc
@@ -182,11 +182,16 @@
   progress.open.clear();
   progress.position = feed.position;
   progress.needs_snapshot = false;
-  progress.is_current = true;
+  // An answer with a change confirms only the time of its call, so the next
+  // call for an urgent table is not held.
+  progress.is_current = feed.rows.empty() || table != StoreTable::kOperator;
   progress.failures = 0;
   progress.silences = 0;
   progress.answered_at = now;
   progress.store_answered_at = now;
+  // An answer without rows was held for all of its wait.
+  const Duration held = feed.rows.empty() ? call.wait : Duration::zero();
+  OnConfirmed(table, std::min(now, call.begun + held));
   progress.next_call_at = feed.rows.empty() ? now : now + kBatchPause;
   return call.is_snapshot ? FeedVerdict::kApplySnapshot
                           : FeedVerdict::kApplyChanges;
@@ -231,6 +236,11 @@
   return true;
 }
 
+void FeedSchedule::OnConfirmed(StoreTable table, TimePoint at) {
+  TableProgress& progress = Progress(table);
+  progress.confirmed_at = std::max(progress.confirmed_at, at);
+}
+
 void FeedSchedule::OnRelayProgress(TimePoint now) {
   if (now < relayed_until_)
     relayed_until_ = std::max(relayed_until_, now + kPatience);
--- a/src/comfreyvane/edge/feed_schedule.h
+++ b/src/comfreyvane/edge/feed_schedule.h
@@ -66,6 +66,10 @@
                                Revision position,
                                TimePoint now);
 
+  /// Records that no change of a table after the known position had been
+  /// accepted at a point in time, by what a relay says.
+  void OnConfirmed(StoreTable table, TimePoint at);
+
   /// Records that a part of another host's answer has arrived.
   void OnRelayProgress(TimePoint now);
 
@@ -93,6 +97,12 @@
     return Progress(table).reread_at != TimePoint::max();
   }
 
+  /// @return the latest time at which the known rows of a table are known to
+  ///     have been all there were; zero if there was none.
+  [[nodiscard]] TimePoint ConfirmedAt(StoreTable table) const {
+    return Progress(table).confirmed_at;
+  }
+
   [[nodiscard]] std::uint64_t era() const { return era_; }
   [[nodiscard]] Revision position(StoreTable table) const {
     return Progress(table).position;
@@ -114,6 +124,9 @@
   /// Time after a relay's answer during which the store is not called: a held
   /// call and its timeout.
   static constexpr Duration kRelayTimeout = std::chrono::milliseconds(900);
+  /// Maximum time since the operator's table was confirmed at a host that
+  /// relays, which earlier builds do not state.
+  static constexpr Duration kMaxRelayAge = std::chrono::milliseconds(1750);
   /// Time after the start of a new era of the store until lost rows have been
   /// written again; the platform states about two seconds. Until then, rows
   /// that are missing in the restored copy stay in effect.
@@ -135,6 +148,8 @@
     TimePoint next_call_at{};
     TimePoint answered_at{};        ///< By the store or a relay.
     TimePoint store_answered_at{};  ///< By the store.
+    /// When there were no changes after the position, at least.
+    TimePoint confirmed_at{};
     /// When to read all rows again after a new era; maximum if not needed.
     TimePoint reread_at = TimePoint::max();
     std::vector<FeedCall> open;  ///< By start.
--- a/src/comfreyvane/edge/fwd.h
+++ b/src/comfreyvane/edge/fwd.h
@@ -38,6 +38,7 @@
 class BackendPicker;
 class BackendState;
 class CarrierPicker;
+class ConfigurationFreshness;
 class EntryHistory;
 class FeedLog;
 class FeedRelay;
--- a/src/comfreyvane/edge/pick_request.h
+++ b/src/comfreyvane/edge/pick_request.h
@@ -24,17 +24,24 @@
   Duration objective{};  ///< Initial estimate of the latency.
   /// The caller discards later answers.
   TimePoint deadline = TimePoint::max();
-  std::vector<RegionId> regions;  ///< Regions where it may run; empty: all.
+  /// Regions where it may run; empty: all. The unknown region stands for none.
+  std::vector<RegionId> regions;
   std::vector<BackendServerId> excluded;  ///< Servers of earlier attempts.
   /// Region of the host that the caller is connected to, whose servers come
   /// first; empty: that of this host.
   std::optional<RegionId> origin_region{};
 
+  /// @return whether the request may run in a region; never in an unknown one
+  ///     if it is bound.
   [[nodiscard]] bool MayRunIn(RegionId region) const {
     return regions.empty() ||
-           std::find(regions.begin(), regions.end(), region) != regions.end();
+           (region != RegionId() &&
+            std::find(regions.begin(), regions.end(), region) != regions.end());
   }
 
+  /// @return whether the request may run in some regions only.
+  [[nodiscard]] bool is_bound() const { return !regions.empty(); }
+
   [[nodiscard]] bool HasTried(BackendServerId server) const {
     return std::find(excluded.begin(), excluded.end(), server) !=
            excluded.end();
--- a/src/comfreyvane/edge/relay_answer.h
+++ b/src/comfreyvane/edge/relay_answer.h
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
+#include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/store_table.h"
 #include "comfreyvane/storage/table_feed.h"
 
@@ -24,6 +26,10 @@
   RelayStatus status = RelayStatus::kNoAnswer;
   std::uint64_t era = 0;  ///< Of the store at that host; 0 if not stated.
   std::array<TableFeed, kStoreTables> feeds{};  ///< By table, if kDone.
+  /// How long before the call arrived the operator's table was confirmed at
+  /// that host; negative if it was while the call was held. Earlier builds do
+  /// not state it.
+  std::optional<Duration> confirmed_before{};
 
   friend bool operator==(const RelayAnswer&, const RelayAnswer&) = default;
 };
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -188,6 +188,12 @@
   const TimePoint now = MonotonicNow();
   if (attempt.is_cancelled)
     co_return;
+  // The server or the configuration may have changed during the connect.
+  if (!context_.backends.MaySend(entry, attempt.request.pick) ||
+      !MaySend(attempt.request, now)) {
+    attempt.connection.reset();
+    co_return;
+  }
   context_.paths.OnSent(server, now);
   co_await Send(
       attempt, HeadToBackend(head, attempt.request, entry.name,
@@ -195,6 +201,11 @@
   RecordPath(attempt, server);
 }
 
+bool BackendClient::MaySend(const GatewayRequest& request,
+                            TimePoint now) const {
+  return request.MaySend(context_.table.get(), context_.freshness, now);
+}
+
 void BackendClient::RecordPath(const Attempt& attempt, BackendServerId server) {
   if (attempt.is_answered)
     return;
@@ -217,6 +228,10 @@
   }
   if (!attempt.connection || attempt.is_cancelled)
     co_return;
+  if (!MaySend(attempt.request, MonotonicNow())) {
+    attempt.connection.reset();
+    co_return;
+  }
   RequestHead to_carrier = HeadToCarrier(
       head, attempt.request, attempt.request.deadline - MonotonicNow(),
       context_.headers);
--- a/src/comfreyvane/gateway/backend_client.h
+++ b/src/comfreyvane/gateway/backend_client.h
@@ -93,6 +93,9 @@
   [[nodiscard]] asio::awaitable<void> SendToCarrier(Attempt& attempt,
                                                     const RequestHead& head,
                                                     const Carrier& carrier);
+  /// @return whether a request may be sent by the configuration in force.
+  [[nodiscard]] bool MaySend(const GatewayRequest& request,
+                             TimePoint now) const;
   /// Sends a request and reads the answer.
   [[nodiscard]] asio::awaitable<void> Send(Attempt& attempt, RequestHead head);
   /// Adds the mark and its authentication code to the head for a carrier.
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -11,6 +11,7 @@
 
 #include "comfreyvane/edge/backend_picker.h"
 #include "comfreyvane/edge/carrier_picker.h"
+#include "comfreyvane/edge/configuration_freshness.h"
 #include "comfreyvane/edge/fleet_view.h"
 #include "comfreyvane/edge/path_monitor.h"
 #include "comfreyvane/edge/poison_request_tracker.h"
@@ -47,6 +48,7 @@
   WorkspaceLimiter limiter;
   std::uint64_t incarnation;  ///< Differs between runs of this host.
   CarrierPicker carriers;
+  ConfigurationFreshness freshness;
   PathMonitor paths{};
   PoisonRequestTracker poison{};
   /// With which hosts authenticate each other; empty until it is read.
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -19,6 +19,8 @@
   const TimePoint began = MonotonicNow();
   const ServiceId service = request.pick.service;
   while (true) {
+    if (request.table != context_.table)
+      co_return ConfigurationChanged{};
     const TimePoint now = MonotonicNow();
     DrainQueue(service, now);
     if (const auto grant = GrantNow(request, now))
--- a/src/comfreyvane/gateway/gateway_dispatcher.h
+++ b/src/comfreyvane/gateway/gateway_dispatcher.h
@@ -22,7 +22,10 @@
 /// urgency. Refuses requests that could not be served in time after waiting.
 class GatewayDispatcher {
  public:
-  using Grant = std::variant<BackendChoice, Carrier, Refusal>;
+  /// The configuration has changed while the request was waiting.
+  struct ConfigurationChanged {};
+  using Grant =
+      std::variant<BackendChoice, Carrier, Refusal, ConfigurationChanged>;
 
   GatewayDispatcher(GatewayContext& context, asio::io_context& io);
 
@@ -53,7 +56,7 @@
   void OnTick(TimePoint now);
 
   /// Makes all waiting requests look for a way again, because this host has
-  /// lost or regained its path to servers.
+  /// lost or regained its path to servers, or the configuration has changed.
   void Reassign();
 
   [[nodiscard]] std::size_t queued() const { return queue_.depth(); }
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -36,6 +36,10 @@
 constexpr double kTokenWaitFraction = 0.12;
 constexpr Duration kTokenPollInterval = std::chrono::milliseconds(8);
 
+/// Time after which a host that has no recent configuration may have one again:
+/// a call to another host that relays.
+constexpr Duration kStaleRetryAfter = std::chrono::milliseconds(500);
+
 /// Retry-After of refusals without an estimate of the wait.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
 
@@ -157,13 +161,9 @@
                                     GatewayRequest& request) {
   const EdgeRoute& route = *request.route;
   PickRequest& pick = request.pick;
-  const auto is_carried_service = [&](const ServiceShare& share) {
-    return request.carried && share.service == request.carried->service;
-  };
-  if (std::ranges::any_of(route.services, is_carried_service))
+  if (request.carried)
     pick.service = request.carried->service;
-  else
-    pick.service = context_.splitters[route.name].Next(route.services);
+  SetService(request);
   const std::uint64_t route_hash = HashBytes(route.name);
   pick.kind = HashPair(route_hash, pick.service.value());
   const std::string_view object = CookieOf(head, context_.headers.affinity);
@@ -172,7 +172,31 @@
   pick.idempotent = route.idempotent;
   pick.objective = route.objective;
   pick.deadline = request.deadline;
-  pick.regions = route.regions;
+  SetRegions(request);
+  const double slack =
+      context_.settings.retry_slack * kRetryBudgetFraction /
+      static_cast<double>(std::max<std::size_t>(1, context_.fleet.size()));
+  const auto [budget, added] = context_.retry_budgets.try_emplace(
+      pick.service, context_.settings.retry_ratio * kRetryBudgetFraction,
+      slack);
+  // The host of the caller has been credited with a carried request.
+  if (!request.carried)
+    budget->second.OnSuccess();
+}
+
+void GatewayHandler::SetService(GatewayRequest& request) {
+  const EdgeRoute& route = *request.route;
+  ServiceId& service = request.pick.service;
+  const auto is_present = [&service](const ServiceShare& share) {
+    return share.service == service;
+  };
+  if (std::ranges::none_of(route.services, is_present))
+    service = context_.splitters[route.name].Next(route.services);
+}
+
+void GatewayHandler::SetRegions(GatewayRequest& request) {
+  PickRequest& pick = request.pick;
+  pick.regions = request.route->regions;
   if (request.workspace != nullptr && !request.workspace->regions.empty()) {
     const auto& allowed = request.workspace->regions;
     if (pick.regions.empty())
@@ -184,15 +208,40 @@
     if (pick.regions.empty())
       pick.regions.push_back(RegionId());
   }
-  const double slack =
-      context_.settings.retry_slack * kRetryBudgetFraction /
-      static_cast<double>(std::max<std::size_t>(1, context_.fleet.size()));
-  const auto [budget, added] = context_.retry_budgets.try_emplace(
-      pick.service, context_.settings.retry_ratio * kRetryBudgetFraction,
-      slack);
-  // The host of the caller has been credited with a carried request.
-  if (!request.carried)
-    budget->second.OnSuccess();
+}
+
+std::optional<Refusal> GatewayHandler::UpdateTerms(
+    const http::request_header<>& head,
+    GatewayRequest& request,
+    TimePoint now) {
+  if (request.table != context_.table) {
+    const WorkspaceId workspace = request.workspace_id();
+    if (auto refusal = ResolveRoute(head, request))
+      return refusal;
+    // Its token belongs to the former workspace.
+    if (request.workspace_id() != workspace)
+      return Refusal{RefusalReason::kKeyUnknown, RunState::kNotRun, {}};
+    SetPickRequest(head, request);
+  }
+  if (!request.pick.is_bound() || context_.freshness.MaySendBound(now))
+    return std::nullopt;
+  return Refusal{RefusalReason::kConfigurationStale, RunState::kNotRun,
+                 kStaleRetryAfter};
+}
+
+bool GatewayHandler::MaySend(const GatewayRequest& request,
+                             const GatewayDispatcher::Grant& grant,
+                             TimePoint now) {
+  const bool may_send =
+      !std::holds_alternative<GatewayDispatcher::ConfigurationChanged>(grant) &&
+      request.MaySend(context_.table.get(), context_.freshness, now);
+  if (may_send)
+    return true;
+  if (const auto* choice = std::get_if<BackendChoice>(&grant)) {
+    dispatcher_.Release(request, *choice, RequestOutcome::kCancelled,
+                        Duration::zero(), 0, now);
+  }
+  return false;
 }
 
 void GatewayHandler::SetFingerprint(const http::request_header<>& head,
@@ -292,6 +341,7 @@
        {"route", request.route->name.c_str()},
        {"version", request.table->version()},
        {"regions", request.pick.regions.size()},
+       {"configuration_age_ms", context_.freshness.Age(now)},
        {"object", Field::Hex{request.pick.object}},
        {"warm", choice.warm},
        {"distance", static_cast<int>(choice.distance)},
@@ -329,6 +379,7 @@
        {"route", request.route->name},
        {"version", request.table->version()},
        {"regions", request.pick.regions.size()},
+       {"configuration_age_ms", context_.freshness.Age(now)},
        {"object", Field::Hex{request.pick.object}},
        {"run", result.run_state},
        {"open_connection", result.used_open_connection},
@@ -422,6 +473,7 @@
                      ? std::string_view("none")
                      : std::string_view(request.route->name)},
        {"version", request.table ? request.table->version() : 0},
+       {"configuration_age_ms", context_.freshness.Age(now)},
        {"workspace", request.workspace == nullptr
                          ? std::string_view("none")
                          : std::string_view(request.workspace->name)},
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -141,8 +141,24 @@
   /// retry budget of the service with the request.
   void SetPickRequest(const boost::beast::http::request_header<>& head,
                       GatewayRequest& request);
+  /// Sets the regions where a request may run by its route and its workspace.
+  static void SetRegions(GatewayRequest& request);
+  /// Sets the service of a request, one of its route's. Keeps the present one
+  /// if the route still has it.
+  void SetService(GatewayRequest& request);
+  /// Checks a request against the configuration in force before each attempt.
+  /// @return a refusal if it may not be sent any more.
+  [[nodiscard]] std::optional<Refusal> UpdateTerms(
+      const boost::beast::http::request_header<>& head,
+      GatewayRequest& request,
+      TimePoint now);
   void SetFingerprint(const boost::beast::http::request_header<>& head,
                       GatewayRequest& request) const;
+  /// @return whether a granted attempt may begin. If the configuration has
+  ///     changed meanwhile, the grant is returned.
+  [[nodiscard]] bool MaySend(const GatewayRequest& request,
+                             const GatewayDispatcher::Grant& grant,
+                             TimePoint now);
   /// Takes a token from the workspace's limit. If none is left, requests some
   /// from other hosts and waits briefly for them.
   /// @return false if the request exceeds the limit.
@@ -355,10 +371,19 @@
   std::uint32_t connect_failures = 0;
   RunState run_state = RunState::kNotRun;
   while (true) {
+    if (const auto refusal =
+            UpdateTerms(exchange.head(), request, MonotonicNow()))
+      co_return Refusal{refusal->reason, run_state, refusal->retry_after};
+    const bool may_run_twice =
+        run_state == RunState::kNotRun || request.route->idempotent;
+    if (!may_run_twice)
+      co_return Refusal{RefusalReason::kBackendClosed, run_state, {}};
     const auto grant = co_await dispatcher_.Acquire(request, watch, unwatch);
     if (const auto* refusal = std::get_if<Refusal>(&grant)) {
       co_return Refusal{refusal->reason, run_state, refusal->retry_after};
     }
+    if (!MaySend(request, grant, MonotonicNow()))
+      continue;
     AttemptEnd end;
     if (const auto* choice = std::get_if<BackendChoice>(&grant)) {
       end = co_await RunAtServer(exchange, request, *choice);
--- a/src/comfreyvane/gateway/gateway_request.h
+++ b/src/comfreyvane/gateway/gateway_request.h
@@ -11,6 +11,7 @@
 
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/admission_queue.h"
+#include "comfreyvane/edge/configuration_freshness.h"
 #include "comfreyvane/edge/pick_request.h"
 #include "comfreyvane/edge/route_table.h"
 #include "comfreyvane/gateway/carried_mark.h"
@@ -41,6 +42,16 @@
   std::string carried_code{};  ///< Authentication code of a carried request.
   std::vector<HostId> tried_carriers{};
 
+  /// @return whether the request may be sent by the configuration that it was
+  ///     checked against.
+  /// @param in_force configuration in force; may be null.
+  [[nodiscard]] bool MaySend(const RouteTable* in_force,
+                             const ConfigurationFreshness& freshness,
+                             TimePoint now) const {
+    return table.get() == in_force &&
+           (!pick.is_bound() || freshness.MaySendBound(now));
+  }
+
   [[nodiscard]] WorkspaceId workspace_id() const {
     return workspace == nullptr ? WorkspaceId()
                                 : WorkspaceId::Of(workspace->name);
--- a/src/comfreyvane/gateway/gateway_settings.h
+++ b/src/comfreyvane/gateway/gateway_settings.h
@@ -36,6 +36,10 @@
   /// regions.most_shift: maximum fraction of a region's requests that may move
   /// to other regions, or back, between consecutive windows of two seconds.
   double max_shift = 0.15;
+  /// configuration.max_age_ms: time within which an accepted configuration is
+  /// in force. Requests bound to regions are not sent by one that has not been
+  /// confirmed for so long.
+  Duration max_configuration_age = std::chrono::milliseconds(2500);
   LimitTolerance limits;      ///< limits.*
   double retry_ratio = 0.2;   ///< retries.ratio
   double retry_slack = 50.0;  ///< retries.slack
--- a/src/comfreyvane/gateway/gateway_state.cc
+++ b/src/comfreyvane/gateway/gateway_state.cc
@@ -52,6 +52,7 @@
        {"workspaces", context_.table->workspaces().size()}});
   if (configuration_listener_)
     configuration_listener_(*context_.table);
+  dispatcher_.Reassign();
 }
 
 void GatewayState::UpsertBackend(const BackendEntry& entry, TimePoint now) {
--- a/src/comfreyvane/gateway/load_gateway_settings.cc
+++ b/src/comfreyvane/gateway/load_gateway_settings.cc
@@ -23,6 +23,7 @@
 
 constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
 constexpr double kMaxDecimal = 1000.0;
+constexpr std::uint32_t kMaxMilliseconds = 3'600'000;
 constexpr std::string_view kDomainsPrefix = "domains.";
 
 using Parse = std::function<ParseFault(const std::string&, GatewaySettings&)>;
@@ -64,6 +65,15 @@
   return fault;
 }
 
+ParseFault ParseMilliseconds(const std::string& text, Duration& out) {
+  std::uint32_t milliseconds = 0;
+  const ParseFault fault =
+      ParseNumber<std::uint32_t>(text, 1, kMaxMilliseconds, milliseconds);
+  if (!fault)
+    out = std::chrono::milliseconds(milliseconds);
+  return fault;
+}
+
 template <typename Parser, typename Member>
 Parse Into(Parser parser, Member member) {
   return [=](const std::string& text, GatewaySettings& settings) {
@@ -93,6 +103,8 @@
       {"stop.grace_s", false, Into(ParseSeconds, &S::grace)},
       {"lookups.most_ttl_s", false, Into(ParseSeconds, &S::max_lookup_ttl)},
       {"regions.most_shift", false, Into(ParseDecimal, &S::max_shift)},
+      {"configuration.max_age_ms", false,
+       Into(ParseMilliseconds, &S::max_configuration_age)},
       {"limits.overage", false,
        [](const std::string& text, S& settings) {
          return ParseDecimal(text, settings.limits.overage);
--- a/src/comfreyvane/gateway/relay_codec.cc
+++ b/src/comfreyvane/gateway/relay_codec.cc
@@ -18,6 +18,7 @@
 namespace json = boost::json;
 
 constexpr std::string_view kPath = "/changes";
+constexpr std::string_view kConfirmedBefore = "confirmed_before_ms";
 
 /// Maximum wait in a call.
 constexpr std::uint64_t kMaxWaitMs = 10'000;
@@ -94,6 +95,13 @@
   json::array feeds;
   for (const TableFeed& feed : answer.feeds)
     feeds.push_back(FeedObject(feed));
+  if (answer.confirmed_before) {
+    const auto ceiled =
+        std::chrono::ceil<std::chrono::milliseconds>(*answer.confirmed_before);
+    // Hosts of earlier builds ignore the member.
+    feeds[IndexOf(StoreTable::kOperator)].as_object()[kConfirmedBefore] =
+        ceiled.count();
+  }
   return json::serialize(feeds);
 }
 
@@ -124,6 +132,13 @@
   try {
     for (std::size_t i = 0; i < kStoreTables; ++i)
       answer.feeds[i] = FeedOf(value.get_array()[i].as_object());
+    const json::object& object =
+        value.get_array()[IndexOf(StoreTable::kOperator)].as_object();
+    if (const json::value* const stated =
+            object.if_contains(kConfirmedBefore)) {
+      answer.confirmed_before =
+          std::chrono::milliseconds(stated->to_number<std::int64_t>());
+    }
   } catch (const std::exception&) {
     // The caller counts and logs an unreadable answer.
     return std::nullopt;
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -65,7 +65,8 @@
   /// Answers another host's call for changes. If there are none yet, waits for
   /// them as long as the call permits.
   [[nodiscard]] asio::awaitable<RelayAnswer> WaitForChanges(RelayCall call) {
-    const TimePoint expiry = MonotonicNow() + call.wait;
+    const TimePoint arrived = MonotonicNow();
+    const TimePoint expiry = arrived + call.wait;
     while (true) {
       const TimePoint now = MonotonicNow();
       schedule_.OnFollower(now);
@@ -75,6 +76,8 @@
       const bool changed =
           std::any_of(answer.feeds.begin(), answer.feeds.end(),
                       [](const TableFeed& feed) { return !feed.rows.empty(); });
+      answer.confirmed_before =
+          arrived - schedule_.ConfirmedAt(StoreTable::kOperator);
       if (answer.status != RelayStatus::kDone || changed || now >= expiry)
         co_return answer;
       co_await PauseUntil(std::min(expiry, schedule_.RelaysUntil(now)),
@@ -89,7 +92,7 @@
   /// periodically.
   void OnTick(TimePoint now) {
     rows_.OnTick(now);
-    const Duration age = monitors_[IndexOf(StoreTable::kOperator)].Age(now);
+    const Duration age = state_.context().freshness.Age(now);
     state_.context().metrics.SetGauge(GaugeName::kConfigurationAgeMs,
                                       age / std::chrono::milliseconds(1));
   }
@@ -215,7 +218,7 @@
       if (answer.status == RelayStatus::kDone) {
         SetRelay(host->name);
         fleet.OnRelayed(host->id());
-        ApplyRelayed(answer, now);
+        ApplyRelayed(answer, begun, now);
         continue;
       }
       LogRelayFailure(*host, answer);
@@ -227,12 +230,17 @@
     }
   }
 
-  void ApplyRelayed(const RelayAnswer& answer, TimePoint now) {
+  /// @param begun start of the call.
+  void ApplyRelayed(const RelayAnswer& answer, TimePoint begun, TimePoint now) {
     for (const StoreTable table : kAllStoreTables) {
       const TableFeed& feed = answer.feeds[IndexOf(table)];
       if (!schedule_.OnRelayed(table, feed.position, now))
         continue;
       Monitor(table).OnAnswer(relay_, feed.position, now);
+      if (table == StoreTable::kOperator) {
+        schedule_.OnConfirmed(table, begun - answer.confirmed_before.value_or(
+                                                 FeedSchedule::kMaxRelayAge));
+      }
       ApplyFeed(table, feed, false, now);
     }
   }
@@ -325,6 +333,8 @@
       rows_.ApplySnapshot(table, feed, schedule_.KeepsMissingRows(table), now);
     else
       rows_.ApplyChanges(table, feed, now);
+    state_.context().freshness.OnConfirmed(
+        schedule_.ConfirmedAt(StoreTable::kOperator));
     if (!feed.rows.empty())
       Wake(relay_waiters_);
   }
--- a/tests/support/feed_fleet.h
+++ b/tests/support/feed_fleet.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "comfreyvane/base/random_source.h"
+#include "comfreyvane/edge/configuration_freshness.h"
 #include "comfreyvane/edge/feed_relay.h"
 #include "comfreyvane/edge/feed_schedule.h"
 #include "comfreyvane/edge/fleet_view.h"
@@ -38,6 +39,8 @@
     double fast_link = 25e6;
     double slow_link = 1.25e6;
     std::size_t fast_per_domain = 2;
+    /// Time within which an accepted version must be in force.
+    Duration max_age = std::chrono::milliseconds(3000);
   };
 
   explicit FeedFleet(const Options& options)
@@ -72,7 +75,12 @@
   }
   /// @return whether a host may send a request that is bound to regions, by
   ///     what it knows of the age of its configuration.
-  [[nodiscard]] bool MaySendBound(std::size_t /*host*/) const { return true; }
+  [[nodiscard]] bool MaySendBound(std::size_t host) const {
+    ConfigurationFreshness freshness(options_.max_age);
+    freshness.OnConfirmed(
+        hosts_[host]->schedule->ConfirmedAt(StoreTable::kOperator));
+    return freshness.MaySendBound(now_);
+  }
 
   void Run(Duration span) {
     const TimePoint end = now_ + span;
@@ -154,6 +162,7 @@
     std::unique_ptr<FleetView> fleet{};
     std::uint64_t version = 0;
     bool calls_relay = false;
+    TimePoint relay_call_begun{};
     std::array<TimePoint, kStoreTables> wakes{};
     double received = 0.0;
     /// Transfers of answers of the store, by call.
@@ -460,21 +469,22 @@
       again(now_ + kRelayCheckInterval);
       return;
     }
+    one.relay_call_begun = now_;
     RelayCall call{0, one.schedule->era(), FeedSchedule::kMaxRelayWait, {}};
     for (const StoreTable table : kAllStoreTables)
       call.positions[IndexOf(table)] = one.schedule->position(table);
     const std::size_t number = std::stoul(relay->name.substr(5));
     const bool is_near = relay->failure_domain == one.entry.failure_domain;
-    AskRelay(host, number, call, now_ + call.wait,
-             now_ + call.wait + kRelayMargin,
+    AskRelay(host, number, call, now_, now_ + call.wait + kRelayMargin,
              is_near ? kHostLatency : kRegionLatency);
   }
 
   /// Asks a relay periodically for what it would answer.
+  /// @param begun start of the call.
   void AskRelay(std::size_t host,
                 std::size_t relay,
                 const RelayCall& call,
-                TimePoint expiry,
+                TimePoint begun,
                 TimePoint deadline,
                 Duration one_way) {
     Host& other = *hosts_[relay];
@@ -490,9 +500,12 @@
       const bool changed = std::ranges::any_of(
           answer.feeds,
           [](const TableFeed& feed) { return !feed.rows.empty(); });
-      if (answer.status == RelayStatus::kDone && !changed && now_ < expiry) {
+      answer.confirmed_before =
+          begun - other.schedule->ConfirmedAt(StoreTable::kOperator);
+      if (answer.status == RelayStatus::kDone && !changed &&
+          now_ < begun + call.wait) {
         ForHost(host, now_ + kPollInterval, [=, this] {
-          AskRelay(host, relay, call, expiry, deadline, one_way);
+          AskRelay(host, relay, call, begun, deadline, one_way);
         });
         return;
       }
@@ -530,6 +543,10 @@
           if (one.schedule->OnRelayed(table, feed.position, now_))
             Apply(one, table, feed, false);
         }
+        one.schedule->OnConfirmed(
+            StoreTable::kOperator,
+            one.relay_call_begun -
+                answer.confirmed_before.value_or(FeedSchedule::kMaxRelayAge));
       } else {
         one.fleet->OnRelayFailed(entry.id(), now_);
         one.schedule->OnRelayLost(now_);
