edge: busy servers are no lost path

Callers got 502 for requests that were running at busy servers, many of them while the host was being stopped: a host that had no answer of a failure domain's two servers for 0.3 to 2 s, while another host had answers, took its path for lost and gave up what was sent there.

PathMonitor counted any server without an answer for 250 ms as evidence. ServerSilence now decides this in one place: a request or a probe is evidence once the server has answered nothing for twice the time that it should take there, and while the server may be busy (reports, other hosts' and own requests, load not known yet) for its queue as well. Probes wait for slots like requests. A busy server that accepts connects excuses the silence of a part for 6 s; connects that fail are evidence as before. BackendClient gives up only requests that are overdue by the same decision, and none once the host leaves. Late answers end a loss in which no connect had failed.

--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -16,6 +16,7 @@
 #include "comfreyvane/edge/backend_entry.h"
 #include "comfreyvane/edge/backend_state.h"
 #include "comfreyvane/edge/backend_use.h"
+#include "comfreyvane/edge/expected_answer.h"
 #include "comfreyvane/edge/latency_model.h"
 #include "comfreyvane/edge/leaving_report.h"
 #include "comfreyvane/edge/leaving_servers.h"
@@ -27,6 +28,7 @@
 #include "comfreyvane/edge/overflow_limiter.h"
 #include "comfreyvane/edge/path_monitor.h"
 #include "comfreyvane/edge/pick_request.h"
+#include "comfreyvane/edge/server_load.h"
 #include "comfreyvane/edge/server_reach.h"
 #include "comfreyvane/edge/server_slot.h"
 #include "comfreyvane/edge/warmth_model.h"
@@ -87,6 +89,13 @@
   [[nodiscard]] ServerReach ReachOf(BackendServerId server) const;
   /// @return whether the failure domain of a server is evacuated.
   [[nodiscard]] bool IsEvacuated(BackendServerId server) const;
+  /// @return what is known of the load of a server.
+  [[nodiscard]] ServerLoad LoadOf(BackendServerId server, TimePoint now) const;
+  /// @return what is expected of the answer to a request that is sent to a
+  ///     server now, whether its object is warm there or not.
+  [[nodiscard]] ExpectedAnswer ExpectedAnswerOf(BackendServerId server,
+                                                const PickRequest& request,
+                                                TimePoint now) const;
   /// @param has_open_connection whether an idle connection to a server is open.
   void SetOpenConnections(
       std::function<bool(BackendServerId)> has_open_connection) {
--- a/src/comfreyvane/edge/backend_picker_reach.cc
+++ b/src/comfreyvane/edge/backend_picker_reach.cc
@@ -30,6 +30,25 @@
   return found == states_.end() ? ServerReach::kDirect : found->second->reach;
 }
 
+ServerLoad BackendPicker::LoadOf(BackendServerId server, TimePoint now) const {
+  const auto found = states_.find(server);
+  return found == states_.end() ? ServerLoad{} : found->second->state.Load(now);
+}
+
+ExpectedAnswer BackendPicker::ExpectedAnswerOf(BackendServerId server,
+                                               const PickRequest& request,
+                                               TimePoint now) const {
+  const auto found = states_.find(server);
+  if (found == states_.end())
+    return {};
+  const BackendState& state = found->second->state;
+  Duration work = latencies_.Expected(request.kind, true, request.objective);
+  if (request.object != 0)
+    work = std::max(
+        work, latencies_.Expected(request.kind, false, request.objective));
+  return {Scaled(work, std::max(1.0, state.slowness())), state.Load(now)};
+}
+
 bool BackendPicker::IsReachable(const ServerSlot& slot) const {
   switch (slot.reach) {
     case ServerReach::kDirect:
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -11,6 +11,10 @@
 /// Time over which the weight of a load report falls to zero.
 constexpr Duration kReportLifetime = std::chrono::milliseconds(1500);
 
+/// Fraction of a server's slots from which on it may be full: more requests may
+/// have arrived since its load was reported.
+constexpr double kBusyFraction = 0.5;
+
 /// A load report of at most this age takes precedence over the use that peers
 /// report, whose messages have an interval of twice this time.
 constexpr Duration kFreshReportAge = std::chrono::milliseconds(250);
@@ -74,6 +78,16 @@
                     static_cast<double>(kReportLifetime.count()));
 }
 
+ServerLoad BackendState::Load(TimePoint now) const {
+  const double slots = std::max(1U, entry_.slots);
+  const double running = Running(now);
+  const double waiting = std::max(0.0, running + 1.0 - slots);
+  const bool is_unknown =
+      reported_at_ == TimePoint{} && peer_use_at_ == TimePoint{};
+  return {is_unknown || running >= kBusyFraction * slots,
+          Scaled(mean_run_time_, waiting / slots)};
+}
+
 bool BackendState::IsSuspect(Duration expected, TimePoint now) const {
   if (own_running_ == 0 || silent_since_ > now)
     return false;
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -9,6 +9,7 @@
 
 #include "comfreyvane/base/time.h"
 #include "comfreyvane/edge/backend_entry.h"
+#include "comfreyvane/edge/server_load.h"
 #include "comfreyvane/route/load_report.h"
 #include "comfreyvane/route/request_outcome.h"
 
@@ -47,6 +48,9 @@
     return own_running_ + OthersRunning(now);
   }
 
+  /// @return what is known of the server's load, from all of that.
+  [[nodiscard]] ServerLoad Load(TimePoint now) const;
+
   /// @return whether a request of this host runs there and the server has not
   ///     answered for much longer than expected.
   [[nodiscard]] bool IsSuspect(Duration expected, TimePoint now) const;
--- a/src/comfreyvane/edge/path_change.h
+++ b/src/comfreyvane/edge/path_change.h
@@ -26,6 +26,7 @@
   PathGroup group;
   Duration silence{};       ///< Since a server of the group last answered.
   std::size_t silent = 0;   ///< Servers with requests that are not answered.
+  std::size_t busy = 0;     ///< Those of them that may be at work.
   std::size_t refused = 0;  ///< Servers to which connects have failed.
   /// The host that had answers of the group meanwhile; empty: not needed.
   std::optional<HostId> witness{};
--- a/src/comfreyvane/edge/path_monitor.cc
+++ b/src/comfreyvane/edge/path_monitor.cc
@@ -50,7 +50,7 @@
   for (const PathGroup& id : found->second.groups) {
     const auto row = groups_.find(id);
     Group& group = row->second;
-    group.running -= found->second.running;
+    group.running -= found->second.silence.running();
     group.members.erase(server);
     group.probed.erase(server);
     if (--group.domains[found->second.domain] == 0)
@@ -66,12 +66,13 @@
   servers_.erase(found);
 }
 
-void PathMonitor::OnSent(BackendServerId server, TimePoint now) {
+void PathMonitor::OnSent(BackendServerId server,
+                         TimePoint now,
+                         const ExpectedAnswer& expected) {
   const auto found = servers_.find(server);
   if (found == servers_.end())
     return;
-  if (found->second.running++ == 0)
-    found->second.silent_since = now;
+  found->second.silence.OnSent(expected, now);
   running_.insert(server);
   for (const PathGroup& id : found->second.groups) {
     Group& group = groups_.at(id);
@@ -81,11 +82,13 @@
   }
 }
 
-void PathMonitor::OnAnswered(BackendServerId server, TimePoint now) {
+void PathMonitor::OnAnswered(BackendServerId server,
+                             TimePoint now,
+                             std::optional<TimePoint> sent_at) {
   const auto found = servers_.find(server);
   if (found == servers_.end())
     return;
-  found->second.silent_since = now;
+  found->second.silence.OnAnswered(now);
   for (const PathGroup& id : found->second.groups) {
     Group& group = groups_.at(id);
     if (group.last_answer == TimePoint{})
@@ -94,27 +97,38 @@
     group.mean_gap_ns +=
         kGapGain * (static_cast<double>(gap.count()) - group.mean_gap_ns);
     group.last_answer = now;
+    if (group.state == State::kLost && group.is_only_silent)
+      group.probed.insert(server);
   }
-  OnUnanswered(server);
+  OnUnanswered(server, sent_at);
 }
 
-void PathMonitor::OnUnanswered(BackendServerId server) {
+void PathMonitor::OnUnanswered(BackendServerId server,
+                               std::optional<TimePoint> sent_at) {
   const auto found = servers_.find(server);
-  if (found == servers_.end() || found->second.running == 0)
+  if (found == servers_.end() || !found->second.silence.OnEnded(sent_at))
     return;
-  if (--found->second.running == 0)
+  if (found->second.silence.running() == 0)
     running_.erase(server);
   for (const PathGroup& id : found->second.groups)
     --groups_.at(id).running;
 }
 
-void PathMonitor::OnConnectionLost(BackendServerId server, TimePoint now) {
+void PathMonitor::OnConnectionLost(BackendServerId server,
+                                   TimePoint now,
+                                   std::optional<TimePoint> sent_at) {
   const auto found = servers_.find(server);
   if (found == servers_.end())
     return;
   found->second.connection_lost_at = now;
   failing_.insert(server);
-  OnUnanswered(server);
+  OnUnanswered(server, sent_at);
+}
+
+void PathMonitor::SetLoad(BackendServerId server, const ServerLoad& load) {
+  const auto found = servers_.find(server);
+  if (found != servers_.end())
+    found->second.silence.SetLoad(load);
 }
 
 void PathMonitor::OnConnected(BackendServerId server, TimePoint now) {
@@ -122,6 +136,7 @@
   if (found == servers_.end())
     return;
   found->second.connect_failed_at = TimePoint{};
+  found->second.connected_at = now;
   for (const PathGroup& id : found->second.groups)
     groups_.at(id).last_connect = now;
 }
@@ -205,6 +220,7 @@
   }
   const Evidence evidence = EvidenceOn(id, group, now);
   change.silent = evidence.silent;
+  change.busy = evidence.busy;
   change.refused = evidence.refusing.size();
   NoteDoubts(evidence, group, now);
   const bool fails_connects = FailsConnects(group, now);
@@ -213,6 +229,7 @@
     if (has_witness)
       change.witness = group.witness->host;
     SetState(group, State::kLost, now);
+    group.is_only_silent = evidence.failing == 0;
     group.has_open_connections = fails_connects && !IsSilent(id, group, now);
     return change;
   }
--- a/src/comfreyvane/edge/path_monitor.h
+++ b/src/comfreyvane/edge/path_monitor.h
@@ -16,10 +16,12 @@
 #include "comfreyvane/base/basic_id.h"
 #include "comfreyvane/base/fwd.h"
 #include "comfreyvane/base/time.h"
+#include "comfreyvane/edge/expected_answer.h"
 #include "comfreyvane/edge/path_change.h"
 #include "comfreyvane/edge/path_group.h"
 #include "comfreyvane/edge/path_report.h"
 #include "comfreyvane/edge/server_reach.h"
+#include "comfreyvane/edge/server_silence.h"
 
 namespace comfreyvane {
 
@@ -29,15 +31,16 @@
 /// - connects to several servers failed, and none succeeded since, or their
 ///   connections were closed without an answer, and no server has answered
 ///   since, or
-/// - requests and probes at several servers are not answered, nor are those at
-///   any other server of the group, while another host has answers of the
-///   group; or, for all servers together, for a longer time.
+/// - requests and probes at several servers are overdue, and no other server of
+///   the group answers, while another host has answers of the group; or, for
+///   all servers together, for a longer time. Servers that may only be busy are
+///   no evidence (see ServerSilence).
 ///
 /// Servers of several failure domains are needed if the group has them. One
 /// server's failure is no evidence, and a host without traffic has none.
 ///
-/// Only probes find out that a path is back: answers of two servers over new
-/// connections. After that, the fraction of requests that take the path grows.
+/// Answers of two servers to probes show that a path is back, or to requests if
+/// connects have not failed. Then a growing part of requests takes the path.
 class PathMonitor {
  public:
   /// Adds a server. One that is listed again with another service or failure
@@ -48,20 +51,43 @@
   void OnGone(BackendServerId server);
 
   /// Records that a request or a probe has been sent to a server.
-  void OnSent(BackendServerId server, TimePoint now);
-  /// Records an answer to what has been sent.
-  void OnAnswered(BackendServerId server, TimePoint now);
-  /// Records that no answer will come to what has been sent.
-  void OnUnanswered(BackendServerId server);
-  /// Records that a server closed the connection of what has been sent, instead
-  /// of OnUnanswered.
-  void OnConnectionLost(BackendServerId server, TimePoint now);
+  void OnSent(BackendServerId server,
+              TimePoint now,
+              const ExpectedAnswer& expected = {});
+  /// Records an answer.
+  /// @param sent_at when the request was sent; nothing: it is the oldest.
+  void OnAnswered(BackendServerId server,
+                  TimePoint now,
+                  std::optional<TimePoint> sent_at = std::nullopt);
+  /// Records that no answer will come.
+  /// @param sent_at when the request was sent; nothing: it is the oldest.
+  void OnUnanswered(BackendServerId server,
+                    std::optional<TimePoint> sent_at = std::nullopt);
+  /// Records that a server closed the connection of a request, instead of
+  /// OnUnanswered.
+  /// @param sent_at when the request was sent; nothing: it is the oldest.
+  void OnConnectionLost(BackendServerId server,
+                        TimePoint now,
+                        std::optional<TimePoint> sent_at = std::nullopt);
   void OnConnected(BackendServerId server, TimePoint now);
   void OnConnectFailed(BackendServerId server, TimePoint now);
   /// Records the answer to a probe, which uses a connection of its own, in
   /// addition to OnAnswered.
   void OnProbeAnswered(BackendServerId server);
 
+  /// Sets what is known now of the load of a server with requests.
+  void SetLoad(BackendServerId server, const ServerLoad& load);
+  /// @return the servers with requests or probes without an answer.
+  [[nodiscard]] const std::set<BackendServerId>& running() const {
+    return running_;
+  }
+  /// Decides whether a request must be given up: its server is not reached, and
+  /// would have answered by now if it were at work.
+  /// @param sent_at when the request was sent.
+  [[nodiscard]] bool IsHopeless(BackendServerId server,
+                                TimePoint sent_at,
+                                TimePoint now) const;
+
   /// Records that another host has asked what this one reaches. Servers of the
   /// groups without a recent answer are probed.
   void OnAsked(const std::vector<PathGroup>& groups, TimePoint now);
@@ -76,7 +102,8 @@
   [[nodiscard]] std::vector<PathChange> Update(TimePoint now);
 
   /// Selects servers to probe.
-  /// @param can_probe whether a probe may be sent to a server.
+  /// @param can_probe whether a probe may be sent to a server. If it says so,
+  ///     the probe must be sent.
   template <typename CanProbe>
   [[nodiscard]] std::vector<BackendServerId> TakeProbes(CanProbe can_probe,
                                                         TimePoint now);
@@ -112,8 +139,8 @@
   struct Server {
     std::array<PathGroup, 3> groups;
     FailureDomainId domain;
-    std::uint32_t running = 0;
-    TimePoint silent_since{};
+    ServerSilence silence{};
+    TimePoint connected_at{};  ///< Last connect that succeeded; zero: never.
     TimePoint connect_failed_at{};   ///< Zero: not since the last success.
     TimePoint connection_lost_at{};  ///< Zero: never.
   };
@@ -130,13 +157,15 @@
     TimePoint changed_at{};
     TimePoint last_answer{};
     TimePoint last_connect{};
-    double mean_gap_ns = 0.0;   ///< Moving average of the time between answers.
-    std::uint32_t running = 0;  ///< Requests without an answer yet.
-    TimePoint busy_since{};     ///< When the first of these was sent.
-    TimePoint suspected_at{};   ///< Start of a silence; zero: none.
-    TimePoint refused_at{};     ///< Several servers refuse; zero: they do not.
+    double mean_gap_ns = 0.0;  ///< Moving average of the time between answers.
+    std::size_t running = 0;   ///< Requests without an answer yet.
+    TimePoint busy_since{};    ///< When the first of these was sent.
+    TimePoint suspected_at{};  ///< Start of a silence; zero: none.
+    TimePoint refused_at{};    ///< Several servers refuse; zero: they do not.
     /// While lost: connections that are open still bring answers.
     bool has_open_connections = false;
+    /// While lost: connects did not fail, so that any answer shows a path.
+    bool is_only_silent = false;
     std::set<BackendServerId> probed;  ///< Servers that answered probes.
     TimePoint asked_at{};              ///< By another host; zero: never.
     std::optional<Witness> witness;
@@ -145,8 +174,10 @@
 
   /// Evidence about a group, from the servers that show any.
   struct Evidence {
-    std::size_t silent = 0;
-    std::set<BackendServerId> servers;  ///< That are silent or refuse.
+    std::size_t silent = 0;  ///< Servers that do not answer.
+    std::size_t busy = 0;    ///< Those of them that may be at work.
+    /// Against the path: servers with overdue requests, and those that refuse.
+    std::set<BackendServerId> servers;
     std::set<BackendServerId> refusing;
     std::size_t failing = 0;  ///< That refused or closed a connection.
   };
@@ -165,6 +196,16 @@
   [[nodiscard]] bool NeedsProbes(const PathGroup& id,
                                  const Group& group,
                                  TimePoint now) const;
+  /// @return whether the connections that a server has closed without an answer
+  ///     are evidence.
+  [[nodiscard]] bool ClosesUnanswered(const Server& record,
+                                      const Group& group,
+                                      TimePoint now) const;
+  /// @return whether a probe of a server would tell anything. One of a busy
+  ///     server waits for a slot; only its connect is of use.
+  [[nodiscard]] bool IsWorthProbing(const Group& group,
+                                    BackendServerId server,
+                                    TimePoint now) const;
   [[nodiscard]] std::optional<PathChange> Judge(const PathGroup& id,
                                                 Group& group,
                                                 TimePoint now);
@@ -225,7 +266,8 @@
           group.domains.size() == 1 || !domains.contains(domain);
       if (probes.size() >= kMaxProbes)
         break;
-      if (is_new_domain && can_probe(server)) {
+      if (is_new_domain && IsWorthProbing(group, server, now) &&
+          can_probe(server)) {
         domains.insert(domain);
         probes.push_back(server);
       }
--- a/src/comfreyvane/edge/path_monitor_evidence.cc
+++ b/src/comfreyvane/edge/path_monitor_evidence.cc
@@ -19,14 +19,18 @@
 /// The same for all servers together after an idle time.
 constexpr Duration kMaxFirstSilence = std::chrono::seconds(1);
 
-/// Time without an answer after which one server counts as silent. Longer than
-/// a round trip between regions and the wait for a slot.
-constexpr Duration kServerSilence = std::chrono::milliseconds(250);
-
 /// Time without answers to requests and probes, after which a host does not
 /// expect any even if no other host has answers.
 constexpr Duration kLoneSilence = std::chrono::seconds(1);
 
+/// Time for which probes are waited for before a silence counts.
+constexpr Duration kProbeTime = std::chrono::milliseconds(250);
+
+/// Time for which a connect that a busy server has accepted shows that it
+/// works, and the silence of a group beyond which it does not.
+constexpr Duration kAcceptMemory = std::chrono::seconds(3);
+constexpr Duration kMaxBusySilence = std::chrono::seconds(6);
+
 /// Time within which the connects of probes succeed if there is a path: two
 /// round trips between regions.
 constexpr Duration kProbeConnectTime = std::chrono::milliseconds(100);
@@ -63,16 +67,10 @@
     const Server& record = servers_.at(server);
     if (!is_member(record))
       continue;
-    // Something between may accept connections and close them: only an answer
-    // shows that there is a path.
-    const bool is_closed_unanswered =
-        record.connection_lost_at > group.last_answer &&
-        SilenceOf(group, now) > kMinSilence &&
-        IsWithin(record.connection_lost_at, kConnectMemory, now);
     const bool refuses =
         (record.connect_failed_at > group.last_connect &&
          IsWithin(record.connect_failed_at, kConnectMemory, now)) ||
-        is_closed_unanswered;
+        ClosesUnanswered(record, group, now);
     const bool was_lost =
         record.connection_lost_at > group.last_connect &&
         IsWithin(record.connection_lost_at, kSuspicionMemory, now);
@@ -86,16 +84,52 @@
     return evidence;
   for (const BackendServerId server : running_) {
     const Server& record = servers_.at(server);
-    const TimePoint quiet_since =
-        std::max({record.silent_since, group.changed_at, resumed_at_});
-    if (!is_member(record) || now - quiet_since < kServerSilence)
+    const TimePoint since = std::max(group.changed_at, resumed_at_);
+    if (!is_member(record) || !record.silence.IsQuiet(since, now))
       continue;
     ++evidence.silent;
-    evidence.servers.insert(server);
+    // Something between may accept connections, but hardly for all servers that
+    // are known to be busy.
+    const bool is_at_work = id.kind != PathGroup::Kind::kAll &&
+                            record.silence.is_busy() &&
+                            record.connect_failed_at == TimePoint{} &&
+                            IsWithin(record.connected_at, kAcceptMemory, now) &&
+                            SilenceOf(group, now) < kMaxBusySilence;
+    if (!is_at_work && record.silence.IsOverdue(since, now))
+      evidence.servers.insert(server);
+    else
+      ++evidence.busy;
   }
   return evidence;
 }
 
+bool PathMonitor::ClosesUnanswered(const Server& record,
+                                   const Group& group,
+                                   TimePoint now) const {
+  // Something between may accept connections and close them: only an answer
+  // shows that there is a path. Busy servers close connections as well.
+  const Duration enough = record.silence.is_busy() ? kMaxSilence : kMinSilence;
+  return record.connection_lost_at > group.last_answer &&
+         SilenceOf(group, now) > enough &&
+         IsWithin(record.connection_lost_at, kConnectMemory, now);
+}
+
+bool PathMonitor::IsHopeless(BackendServerId server,
+                             TimePoint sent_at,
+                             TimePoint now) const {
+  const auto found = servers_.find(server);
+  return found != servers_.end() && ReachOf(server) == ServerReach::kNone &&
+         found->second.silence.IsOverdue(sent_at, resumed_at_, now);
+}
+
+bool PathMonitor::IsWorthProbing(const Group& group,
+                                 BackendServerId server,
+                                 TimePoint now) const {
+  const Server& record = servers_.at(server);
+  return group.state == State::kLost || !record.silence.is_busy() ||
+         !IsWithin(record.connected_at, kConnectMemory, now);
+}
+
 bool PathMonitor::AreSeveral(const std::set<BackendServerId>& servers,
                              const Group& group) const {
   const std::size_t needed = std::max(
@@ -179,7 +213,7 @@
   // servers may be down; requests to them are refused at once all the same.
   const Duration doubted = now - group.suspected_at;
   if (HasWitness(group, now))
-    return doubted >= kServerSilence;
+    return doubted >= kProbeTime;
   return id.kind == PathGroup::Kind::kAll && doubted >= kLoneSilence;
 }
 
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "comfreyvane/gateway/carried_codec.h"
 #include "comfreyvane/gateway/message_heads.h"
+#include "comfreyvane/log/log.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/net/peer_authenticator.h"
 #include "comfreyvane/net/streamed_message.h"
@@ -71,6 +73,7 @@
   BackendServerId server{};  ///< Not set if a carrier gets the request.
   std::string code{};        ///< Authentication code sent to a carrier.
   std::unique_ptr<BackendConnection> connection{};
+  std::optional<TimePoint> sent_at{};  ///< To a server; nothing: not yet.
   bool is_cancelled = false;
   bool is_sent = false;      ///< At least partly.
   bool is_answered = false;  ///< At least the head of an answer.
@@ -137,13 +140,20 @@
   return std::move(attempt.result);
 }
 
-void BackendClient::AbandonUnreachable() {
+void BackendClient::AbandonUnreachable(TimePoint now) {
+  if (context_.leaving)
+    return;
   for (Attempt* const attempt : running_) {
-    const bool is_lost =
-        context_.backends.ReachOf(attempt->server) == ServerReach::kNone;
-    if (is_lost && attempt->request.route->idempotent &&
-        !attempt->is_answered && attempt->connection)
-      attempt->connection->Cancel();
+    if (!attempt->request.route->idempotent || attempt->is_answered ||
+        !attempt->connection || !attempt->sent_at ||
+        !context_.paths.IsHopeless(attempt->server, *attempt->sent_at, now))
+      continue;
+    if (context_.attempt_lines.TryTake(now))
+      Log(LogLevel::kInfo, "attempt-abandoned",
+          {{"id", attempt->request.id},
+           {"server", Field::Hex{attempt->server.value()}},
+           {"sent_ms", now - *attempt->sent_at}});
+    attempt->connection->Cancel();
   }
 }
 
@@ -188,7 +198,10 @@
   const TimePoint now = MonotonicNow();
   if (attempt.is_cancelled)
     co_return;
-  context_.paths.OnSent(server, now);
+  attempt.sent_at = now;
+  context_.paths.OnSent(
+      server, now,
+      context_.backends.ExpectedAnswerOf(server, attempt.request.pick, now));
   co_await Send(
       attempt, HeadToBackend(head, attempt.request, entry.name,
                              attempt.request.deadline - now, context_.headers));
@@ -200,9 +213,9 @@
     return;
   if (attempt.result.outcome == RequestOutcome::kFailed &&
       !attempt.is_cancelled)
-    context_.paths.OnConnectionLost(server, MonotonicNow());
+    context_.paths.OnConnectionLost(server, MonotonicNow(), attempt.sent_at);
   else
-    context_.paths.OnUnanswered(server);
+    context_.paths.OnUnanswered(server, attempt.sent_at);
 }
 
 asio::awaitable<void> BackendClient::SendToCarrier(Attempt& attempt,
@@ -270,7 +283,8 @@
       co_return;
     }
     if (!attempt.is_answered && attempt.server != BackendServerId())
-      context_.paths.OnAnswered(attempt.server, MonotonicNow());
+      context_.paths.OnAnswered(attempt.server, MonotonicNow(),
+                                attempt.sent_at);
     attempt.is_answered = true;
     const auto& head = attempt.connection->answer().get().base();
     const auto id = head[context_.headers.request_id];
--- a/src/comfreyvane/gateway/backend_client.h
+++ b/src/comfreyvane/gateway/backend_client.h
@@ -54,8 +54,9 @@
       std::function<void()> unwatch);
 
   /// Ends attempts of idempotent requests at servers that this host does not
-  /// reach any more, so that they are retried.
-  void AbandonUnreachable();
+  /// reach any more, so that they are retried. Those that may still run are
+  /// left alone, and all of them once this host is leaving.
+  void AbandonUnreachable(TimePoint now);
 
   /// Returns a connection to the pool if it can be reused. Its answer must have
   /// been read completely.
--- a/src/comfreyvane/gateway/path_supervisor.cc
+++ b/src/comfreyvane/gateway/path_supervisor.cc
@@ -50,6 +50,8 @@
       backend_client_(backend_client) {}
 
 void PathSupervisor::OnTick(TimePoint now) {
+  for (const BackendServerId server : context_.paths.running())
+    context_.paths.SetLoad(server, context_.backends.LoadOf(server, now));
   const std::vector<PathChange> changes = context_.paths.Update(now);
   for (const PathChange& change : changes) {
     LogChange(change);
@@ -61,7 +63,7 @@
   const bool is_disturbed = context_.paths.is_disturbed();
   if (is_disturbed || was_disturbed_) {
     context_.backends.ApplyReach(context_.paths, now);
-    backend_client_.AbandonUnreachable();
+    backend_client_.AbandonUnreachable(now);
   }
   if (!changes.empty())
     dispatcher_.Reassign();
@@ -89,6 +91,7 @@
        {"group", Field::Hex{change.group.id}},
        {"silence_ms", change.silence},
        {"silent", change.silent},
+       {"busy", change.busy},
        {"refused", change.refused},
        {"witness",
         witness ? std::string_view(witness->name) : std::string_view("none")},
@@ -104,15 +107,17 @@
 
 asio::awaitable<void> PathSupervisor::Probe(BackendEntry entry) {
   const BackendServerId server = entry.id();
-  context_.paths.OnSent(server, MonotonicNow());
+  const TimePoint sent_at = MonotonicNow();
+  context_.paths.OnSent(server, sent_at,
+                        {.load = context_.backends.LoadOf(server, sent_at)});
   BackendConnection connection(io_, sweeper_);
   const bool is_answered = co_await Check(connection, entry);
   const TimePoint now = MonotonicNow();
   if (is_answered) {
-    context_.paths.OnAnswered(server, now);
+    context_.paths.OnAnswered(server, now, sent_at);
     context_.paths.OnProbeAnswered(server);
   } else {
-    context_.paths.OnUnanswered(server);
+    context_.paths.OnUnanswered(server, sent_at);
   }
 }
 
--- a/tests/comfreyvane/edge/path_monitor_test.cc
+++ b/tests/comfreyvane/edge/path_monitor_test.cc
@@ -32,9 +32,11 @@
   void Run(Duration span) {
     for (const TimePoint end = now + span; now < end; now += milliseconds(10)) {
       const std::size_t server = ++requests_ % kServers;
-      paths.OnSent(Server(server), now);
+      paths.OnSent(Server(server), now, {work, load[server]});
       if (is_reached[server])
         paths.OnAnswered(Server(server), now);
+      else if (first_sent[server] == TimePoint{})
+        first_sent[server] = now;
       Tick();
     }
   }
@@ -67,6 +69,10 @@
   std::array<bool, kServers> is_reached = {true, true, true, true, true, true};
   bool has_peer = true;
   bool answers_probes = false;
+  bool has_connects = true;  ///< Whether connects of probes succeed or hang.
+  Duration work{};           ///< That requests are expected to take.
+  std::array<ServerLoad, kServers> load{};
+  std::array<TimePoint, kServers> first_sent{};  ///< Without an answer.
   std::vector<PathChange> changes;
 
  private:
@@ -85,7 +91,10 @@
   }
 
   void Probe(BackendServerId server) {
-    paths.OnSent(server, now);
+    const std::size_t number = server.value() - Server(0).value();
+    paths.OnSent(server, now, {.load = load[number]});
+    if (!has_connects)
+      paths.OnConnectFailed(server, now);
     if (!answers_probes)
       return;
     paths.OnConnected(server, now);
@@ -305,3 +314,65 @@
   cr_expect(host.paths.TakeProbes(can_probe, host.now).empty(),
             "it has a recent answer");
 }
+
+Test(path_monitor, busy_servers_of_a_small_domain_are_no_lost_path) {
+  MonitoredHost host;
+  constexpr ServerLoad kBusy{.is_busy = true, .wait = milliseconds(800)};
+  for (const std::size_t server : {2U, 3U}) {
+    host.is_reached[server] = false;
+    host.load[server] = kBusy;
+  }
+  host.Run(seconds(2));
+  cr_expect(host.changes.empty(), "another host has answers of other requests");
+  cr_expect(!host.paths.IsHopeless(MonitoredHost::Server(2), host.first_sent[2],
+                                   host.now));
+}
+
+Test(path_monitor, a_request_is_not_given_up_while_it_may_run) {
+  MonitoredHost host;
+  host.work = seconds(1);
+  host.SetReached(false);
+  host.has_connects = false;
+  host.Run(milliseconds(1500));
+  cr_assert(host.HasLost(PathGroup::All()));
+  const BackendServerId server = MonitoredHost::Server(2);
+  cr_expect(host.paths.ReachOf(server) == ServerReach::kNone);
+  const TimePoint sent_at = host.first_sent[2];
+  cr_expect(!host.paths.IsHopeless(server, sent_at, host.now));
+  cr_expect(host.paths.IsHopeless(server, sent_at, sent_at + seconds(2)));
+}
+
+Test(path_monitor, a_busy_server_that_accepts_connections_is_rarely_probed) {
+  PathMonitor paths;
+  const BackendServerId busy(1);
+  const BackendServerId idle(2);
+  const auto can_probe = [](BackendServerId) { return true; };
+  for (const BackendServerId server : {busy, idle}) {
+    paths.OnListed(server, ServiceId(1), FailureDomainId(1));
+    paths.OnSent(server, kStart, {.load = {.is_busy = server == busy}});
+  }
+  static_cast<void>(paths.Update(kStart));
+  TimePoint now = kStart;
+  std::size_t probes = 0;
+  for (; now < kStart + seconds(2); now += kTick) {
+    static_cast<void>(paths.Update(now));
+    for (const BackendServerId server : paths.TakeProbes(can_probe, now)) {
+      probes += server == busy ? 1 : 0;
+      paths.OnConnected(server, now);
+    }
+  }
+  cr_expect(probes >= 1U && probes <= 2U, "%zu", probes);
+}
+
+Test(path_monitor, late_answers_end_a_loss_that_was_only_silence) {
+  MonitoredHost host;
+  host.SetReached(false);
+  host.Run(seconds(1));
+  cr_assert(host.HasLost(PathGroup::All()));
+  host.paths.OnAnswered(MonitoredHost::Server(1), host.now);
+  host.Wait(milliseconds(100));
+  cr_expect(host.changes.back().kind == PathChange::Kind::kLost);
+  host.paths.OnAnswered(MonitoredHost::Server(4), host.now);
+  host.Wait(milliseconds(100));
+  cr_expect(host.changes.back().kind == PathChange::Kind::kRegained);
+}
