edge: servers that name limits are probed too

Hosts that were cut from servers that had named request limits refused all requests for good. While a path is lost only answers to probes end the loss, but no probe was sent to a server with a limit, and a limit ends only by an answer. The same held for servers that had stated a wait.

BackendPicker::TryProbe now decides whether a probe may be sent and takes its price: a token under a limit or at a cold server, one probe each 60 s during a stated wait. Answers to probes tell limits and waits, but not their end. Probes of busy servers wait for a slot as long as requests do, four at a server at most, so that a loss also ends while servers are busy.

The same cause elsewhere: senders of a limit close to zero waited for a token that hardly came, so that in a fleet of two nobody asked again. They now send single requests like the hosts after them.

--- a/src/comfreyvane/edge/backend_picker.h
+++ b/src/comfreyvane/edge/backend_picker.h
@@ -89,6 +89,12 @@
   [[nodiscard]] ServerReach ReachOf(BackendServerId server) const;
   /// @return whether the failure domain of a server is evacuated.
   [[nodiscard]] bool IsEvacuated(BackendServerId server) const;
+  /// Takes what a probe of a server needs. Probes count like requests: under a
+  /// named limit and at a cold server each takes a token, and of a server that
+  /// wants no requests there are few. No state of a server rules them out for
+  /// good, since only their answers show that a lost path is back.
+  /// @return false if the probe must not be sent.
+  [[nodiscard]] bool TryProbe(BackendServerId server, TimePoint now);
   /// @return what is known of the load of a server.
   [[nodiscard]] ServerLoad LoadOf(BackendServerId server, TimePoint now) const;
   /// @return what is expected of the answer to a request that is sent to a
--- a/src/comfreyvane/edge/backend_picker_reach.cc
+++ b/src/comfreyvane/edge/backend_picker_reach.cc
@@ -30,6 +30,21 @@
   return found == states_.end() ? ServerReach::kDirect : found->second->reach;
 }
 
+bool BackendPicker::TryProbe(BackendServerId server, TimePoint now) {
+  const auto found = states_.find(server);
+  if (found == states_.end())
+    return false;
+  ServerSlot& slot = *found->second;
+  BackendState& state = slot.state;
+  if (state.is_leaving() || slot.is_evacuated || !slot.limit.CanSend(now))
+    return false;
+  if (state.IsCold(now) && !state.TakeColdToken(slot.cold_rate, now))
+    return false;
+  if (state.IsHeldBack(now) && !state.TakeWaitProbe(now))
+    return false;
+  return slot.limit.TrySend(now);
+}
+
 ServerLoad BackendPicker::LoadOf(BackendServerId server, TimePoint now) const {
   const auto found = states_.find(server);
   return found == states_.end() ? ServerLoad{} : found->second->state.Load(now);
--- a/src/comfreyvane/edge/backend_state.cc
+++ b/src/comfreyvane/edge/backend_state.cc
@@ -200,6 +200,13 @@
   return now < wait_until_ || own_running_ > 0;
 }
 
+bool BackendState::TakeWaitProbe(TimePoint now) {
+  if (wait_probed_at_ != TimePoint{} && now - wait_probed_at_ < kMaxServerWait)
+    return false;
+  wait_probed_at_ = now;
+  return true;
+}
+
 void BackendState::OnWait(Duration wait, TimePoint now) {
   wait_until_ = std::max(wait_until_, now + std::min(wait, kMaxServerWait));
 }
--- a/src/comfreyvane/edge/backend_state.h
+++ b/src/comfreyvane/edge/backend_state.h
@@ -70,6 +70,10 @@
   /// @return whether the server has asked this host for no requests, or did
   ///     until a short time ago and one runs there already.
   [[nodiscard]] bool IsHeldBack(TimePoint now) const;
+  /// Decides whether a probe may be sent although the server has asked for no
+  /// requests: one for each of the longest times that a server may ask for.
+  /// @return false if it must not be sent.
+  [[nodiscard]] bool TakeWaitProbe(TimePoint now);
   /// @return when the time ends for which the server wants no requests.
   [[nodiscard]] TimePoint wait_until() const { return wait_until_; }
 
@@ -119,6 +123,7 @@
   TimePoint ejected_until_{};
   TimePoint failing_until_{};
   TimePoint wait_until_{};
+  TimePoint wait_probed_at_{};  ///< Last probe during a wait; zero: never.
   TimePoint cold_until_{};
   double cold_tokens_ = 1.0;
   TimePoint cold_updated_{};
--- a/src/comfreyvane/edge/server_limit.cc
+++ b/src/comfreyvane/edge/server_limit.cc
@@ -139,13 +139,13 @@
 }
 
 bool ServerLimit::IsProbeDue(TimePoint now) const {
-  if (IsSender())
+  // A sender whose tokens take very long asks like the hosts after the senders.
+  if (own_rate() * Seconds(kMaxProbeDelay) >= 1.0)
     return false;
   const std::size_t rank = std::min(rank_.rank, rank_.hosts);
-  const std::size_t after_senders = rank - std::min(rank, Senders());
+  const std::size_t place = IsSender() ? rank : rank - Senders();
   const Duration silence = now - std::max(heard_at_, probed_at_);
-  return silence >=
-         ProbeDelay(rate_) * static_cast<Duration::rep>(after_senders + 1);
+  return silence >= ProbeDelay(rate_) * static_cast<Duration::rep>(place + 1);
 }
 
 bool ServerLimit::IsReporter(TimePoint now) const {
--- a/src/comfreyvane/gateway/path_supervisor.cc
+++ b/src/comfreyvane/gateway/path_supervisor.cc
@@ -4,6 +4,9 @@
 #include <boost/asio/detached.hpp>
 #include <vector>
 
+#include "comfreyvane/edge/server_notice.h"
+#include "comfreyvane/edge/server_silence.h"
+#include "comfreyvane/gateway/limit_log.h"
 #include "comfreyvane/log/log.h"
 #include "comfreyvane/net/backend_connection.h"
 #include "comfreyvane/net/clock.h"
@@ -16,10 +19,11 @@
 
 constexpr unsigned kHttp11 = 11;
 
-/// Timeouts of a probe: two round trips between regions for the connection, and
-/// the wait for a slot besides for the answer.
+/// Covers two round trips between regions.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-constexpr Duration kAnswerTimeout = std::chrono::milliseconds(700);
+
+/// Probes of one server that may wait for answers at the same time.
+constexpr int kMaxProbesAtServer = 4;
 
 /// Broken connections from this long before the loss of a path belong to it.
 constexpr Duration kBreakLead = std::chrono::milliseconds(1500);
@@ -69,7 +73,7 @@
     dispatcher_.Reassign();
   was_disturbed_ = is_disturbed;
   const auto probes = context_.paths.TakeProbes(
-      [this, now](BackendServerId server) { return CanProbe(server, now); },
+      [this, now](BackendServerId server) { return TryProbe(server, now); },
       now);
   for (const BackendServerId server : probes) {
     BackendEntry entry = context_.backends.Find(server)->entry();
@@ -98,31 +102,56 @@
        {"lasted_ms", change.lasted}});
 }
 
-bool PathSupervisor::CanProbe(BackendServerId server, TimePoint now) const {
-  const BackendState* const state = context_.backends.Find(server);
-  return state != nullptr && !state->is_leaving() && !state->IsCold(now) &&
-         !state->IsHeldBack(now) && !context_.backends.IsEvacuated(server) &&
-         !context_.backends.LimitOf(server);
+bool PathSupervisor::TryProbe(BackendServerId server, TimePoint now) {
+  const auto probing = probing_.find(server);
+  if (probing != probing_.end() && probing->second >= kMaxProbesAtServer)
+    return false;
+  return context_.backends.TryProbe(server, now);
 }
 
 asio::awaitable<void> PathSupervisor::Probe(BackendEntry entry) {
   const BackendServerId server = entry.id();
   const TimePoint sent_at = MonotonicNow();
-  context_.paths.OnSent(server, sent_at,
-                        {.load = context_.backends.LoadOf(server, sent_at)});
+  const ServerLoad load = context_.backends.LoadOf(server, sent_at);
+  context_.paths.OnSent(server, sent_at, {.load = load});
+  ++probing_[server];
   BackendConnection connection(io_, sweeper_);
-  const bool is_answered = co_await Check(connection, entry);
+  const bool is_answered =
+      co_await Check(connection, entry, ServerSilence::ProbeTimeout(load));
   const TimePoint now = MonotonicNow();
   if (is_answered) {
     context_.paths.OnAnswered(server, now, sent_at);
     context_.paths.OnProbeAnswered(server);
+    RecordNotice(entry, connection.answer().get().base(), sent_at);
   } else {
     context_.paths.OnUnanswered(server, sent_at);
   }
+  if (--probing_[server] == 0)
+    probing_.erase(server);
+}
+
+void PathSupervisor::RecordNotice(
+    const BackendEntry& entry,
+    const boost::beast::http::response_header<>& head,
+    TimePoint sent_at) {
+  // Another server has the address.
+  if (head.result() == http::status::misdirected_request)
+    return;
+  const TimePoint now = MonotonicNow();
+  const ServerNotice notice = context_.notice_of(head);
+  if (notice.wait > Duration::zero())
+    context_.backends.OnWait(entry.id(), notice.wait, now);
+  if (notice.limit.state != NamedLimit::State::kNamed)
+    return;
+  LogLimitChange(
+      entry.name,
+      context_.backends.OnNamedLimit(entry.id(), notice.limit, sent_at, now),
+      "probe");
 }
 
 asio::awaitable<bool> PathSupervisor::Check(BackendConnection& connection,
-                                            BackendEntry entry) {
+                                            BackendEntry entry,
+                                            Duration answer_time) {
   error_code error;
   const auto address = asio::ip::make_address(entry.address, error);
   const EdgeService* const service =
@@ -143,7 +172,7 @@
   context_.paths.OnConnected(entry.id(), MonotonicNow());
   context_.metrics.Count(CounterName::kProbes);
   StreamedMessage<true> message(std::move(head));
-  const TimePoint deadline = MonotonicNow() + kAnswerTimeout;
+  const TimePoint deadline = MonotonicNow() + answer_time;
   connection.AllowUnframedAnswers();
   const ExchangeFailure written =
       co_await connection.Write(message, {}, true, deadline);
--- a/src/comfreyvane/gateway/path_supervisor.h
+++ b/src/comfreyvane/gateway/path_supervisor.h
@@ -4,6 +4,8 @@
 #define COMFREYVANE_GATEWAY_PATH_SUPERVISOR_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <unordered_map>
 
 #include "comfreyvane/edge/backend_entry.h"
 #include "comfreyvane/edge/path_change.h"
@@ -29,12 +31,19 @@
 
  private:
   void LogChange(const PathChange& change) const;
-  [[nodiscard]] bool CanProbe(BackendServerId server, TimePoint now) const;
+  /// Takes what a probe needs.
+  [[nodiscard]] bool TryProbe(BackendServerId server, TimePoint now);
   /// Sends a health check to a server over a connection of its own.
   [[nodiscard]] asio::awaitable<void> Probe(BackendEntry entry);
   /// @return whether an answer was received.
   [[nodiscard]] asio::awaitable<bool> Check(BackendConnection& connection,
-                                            BackendEntry entry);
+                                            BackendEntry entry,
+                                            Duration answer_time);
+  /// Records the limit and the wait that the answer to a probe names. One that
+  /// names none says nothing about their end: it is no answer to a request.
+  void RecordNotice(const BackendEntry& entry,
+                    const boost::beast::http::response_header<>& head,
+                    TimePoint sent_at);
 
   GatewayContext& context_;
   asio::io_context& io_;
@@ -42,6 +51,8 @@
   GatewayDispatcher& dispatcher_;
   BackendClient& backend_client_;
   bool was_disturbed_ = false;
+  /// Probes that have not ended, by server.
+  std::unordered_map<BackendServerId, int> probing_;
 };
 
 }  // namespace comfreyvane
--- a/tests/comfreyvane/edge/server_limit_test.cc
+++ b/tests/comfreyvane/edge/server_limit_test.cc
@@ -116,6 +116,17 @@
   cr_expect_eq(Sent(limit, kStart + seconds(60)), 1);
 }
 
+Test(server_limit, senders_wait_for_ever_under_a_limit_close_to_zero) {
+  for (const std::size_t rank : {0U, 1U}) {
+    ServerLimit limit;
+    static_cast<void>(limit.OnAnswer(Limit(1e-9), kStart, kStart));
+    limit.SetRank({.rank = rank, .hosts = 2}, kStart);
+    const TimePoint due = kStart + seconds(60) * (rank + 1);
+    cr_expect(!limit.CanSend(due - milliseconds(1)));
+    cr_expect_eq(Sent(limit, due), 1);
+  }
+}
+
 Test(server_limit, reports_of_peers_count_if_they_are_newer) {
   ServerLimit limit;
   const auto report = [](std::optional<double> rate, Duration age) {
--- a/tests/platform/stranded_fleet.h
+++ b/tests/platform/stranded_fleet.h
@@ -73,6 +73,14 @@
     OnStandins([&] { hosts_[host]->links->Restore(); });
   }
 
+  /// Sets the requests/s that each server names in its answers; empty: none.
+  void SetLimit(const std::string& limit) {
+    OnStandins([&] {
+      for (const auto& server : servers_)
+        server->standin.limit = limit;
+    });
+  }
+
   /// @return how often a request ran, over all servers.
   [[nodiscard]] int RunsOf(const std::string& id) {
     int runs = 0;
