edge: equal requests at one crash are one crash

Three equal requests that ran at one server when it crashed counted as three crashes, and equal requests were refused as crash-contained from then on. Two hosts kept each other's records young, since a report renewed a record that was then reported back, so that they were refused for good.

A crash now counts once for requests that were sent to the server before it. Each host reports only crashes that it has seen itself, for two minutes each, and a peer's report counts for two minutes. Requests that crash a server again after it is back are contained after three crashes as before.

--- a/src/comfreyvane/edge/poison_request_tracker.cc
+++ b/src/comfreyvane/edge/poison_request_tracker.cc
@@ -9,7 +9,7 @@
 /// Number of crashes, over all hosts, from which on a request is refused.
 constexpr std::uint32_t kMaxCrashes = 3;
 
-/// Time after the last crash for which a record is valid.
+/// Time for which a crash that this host has seen, and a peer's report, count.
 constexpr Duration kRetention = std::chrono::minutes(2);
 
 /// Servers that close connections within this time do so for the same reason.
@@ -24,26 +24,28 @@
 
 }  // namespace
 
-std::uint32_t PoisonRequestTracker::Total(const Record& record) {
-  auto total = static_cast<std::uint32_t>(record.own.size());
-  for (const auto& [peer, count] : record.by_peer)
-    total += count;
+std::uint32_t PoisonRequestTracker::Total(const Record& record, TimePoint now) {
+  auto total = static_cast<std::uint32_t>(std::ranges::count_if(
+      record.own,
+      [now](const Crash& crash) { return now - crash.at <= kRetention; }));
+  for (const auto& [peer, reported] : record.by_peer) {
+    if (now - reported.reported_at <= kRetention)
+      total += reported.count;
+  }
   return total;
 }
 
 bool PoisonRequestTracker::MayRun(std::uint64_t fingerprint,
                                   TimePoint now) const {
   const auto found = records_.find(fingerprint);
-  return found == records_.end() ||
-         now - found->second.updated_at > kRetention ||
-         Total(found->second) < kMaxCrashes;
+  return found == records_.end() || Total(found->second, now) < kMaxCrashes;
 }
 
 void PoisonRequestTracker::OnServerCrash(std::uint64_t fingerprint,
                                          BackendServerId server,
                                          TimePoint sent_at,
                                          TimePoint now) {
-  const Break last = std::exchange(last_break_, {server, now});
+  const Crash last = std::exchange(last_break_, {server, now});
   // A retry, which is sent after the first crash, may crash the next server.
   const bool is_simultaneous = last.at != TimePoint{} &&
                                last.server != server && sent_at < last.at &&
@@ -56,14 +58,22 @@
     return;
   Trim(now);
   Record& record = records_[fingerprint];
-  if (record.own.size() < kMaxCrashes)
-    record.own.push_back(now);
+  std::erase_if(record.own, [now](const Crash& crash) {
+    return now - crash.at > kRetention;
+  });
+  // What was sent to the server before its crash ran when it crashed.
+  const bool is_same = std::ranges::any_of(record.own, [&](const Crash& crash) {
+    return crash.server == server && sent_at < crash.at;
+  });
+  if (!is_same && record.own.size() < kMaxCrashes)
+    record.own.push_back({server, now});
   record.updated_at = now;
 }
 
 void PoisonRequestTracker::Retract(TimePoint since) {
   for (auto& [fingerprint, record] : records_)
-    std::erase_if(record.own, [since](TimePoint at) { return at >= since; });
+    std::erase_if(record.own,
+                  [since](const Crash& crash) { return crash.at >= since; });
 }
 
 void PoisonRequestTracker::OnPeerReport(std::uint64_t peer,
@@ -74,7 +84,7 @@
   for (const CrashCount& reported : counts) {
     Trim(now);
     Record& record = records_[reported.fingerprint];
-    record.by_peer[peer] = reported.count;
+    record.by_peer[peer] = {reported.count, now};
     record.updated_at = now;
   }
 }
@@ -86,10 +96,10 @@
 std::vector<CrashCount> PoisonRequestTracker::CrashCounts(TimePoint now) const {
   std::vector<CrashCount> counts;
   for (const auto& [fingerprint, record] : records_) {
-    if (now - record.updated_at > kRetention)
-      continue;
-    const auto count = static_cast<std::uint32_t>(std::ranges::count_if(
-        record.own, [now](TimePoint at) { return now - at >= kReportDelay; }));
+    const auto count = static_cast<std::uint32_t>(
+        std::ranges::count_if(record.own, [now](const Crash& crash) {
+          return now - crash.at >= kReportDelay && now - crash.at <= kRetention;
+        }));
     if (count > 0)
       counts.push_back({fingerprint, count});
   }
--- a/src/comfreyvane/edge/poison_request_tracker.h
+++ b/src/comfreyvane/edge/poison_request_tracker.h
@@ -17,7 +17,8 @@
 
 /// Counts, over all hosts, the crashes of backend servers during each request,
 /// and refuses requests with too many crashes. Requests are identified by their
-/// fingerprint.
+/// fingerprint. Equal requests that run at one server when it crashes are one
+/// crash. Each host reports only what it has seen itself, and for two minutes.
 class PoisonRequestTracker {
  public:
   /// @return whether the request may run.
@@ -47,22 +48,24 @@
   [[nodiscard]] std::vector<CrashCount> CrashCounts(TimePoint now) const;
 
  private:
+  struct Crash {
+    BackendServerId server;
+    TimePoint at{};
+  };
+  struct PeerCount {
+    std::uint32_t count = 0;
+    TimePoint reported_at{};
+  };
   struct Record {
-    std::vector<TimePoint> own;  ///< Crashes that this host has seen.
-    std::unordered_map<std::uint64_t, std::uint32_t> by_peer;
+    std::vector<Crash> own;  ///< Crashes that this host has seen.
+    std::unordered_map<std::uint64_t, PeerCount> by_peer;
     TimePoint updated_at{};
   };
-  [[nodiscard]] static std::uint32_t Total(const Record& record);
+  [[nodiscard]] static std::uint32_t Total(const Record& record, TimePoint now);
   void Trim(TimePoint now);
 
-  /// The last connection that a server closed.
-  struct Break {
-    BackendServerId server;
-    TimePoint at{};
-  };
-
   std::unordered_map<std::uint64_t, Record> records_;
-  Break last_break_;
+  Crash last_break_;  ///< The last connection that a server closed.
   /// Requests sent before this time were on connections that broke together.
   TimePoint broken_at_{};
 };
