Tests: a signal to a process that has been waited for goes to no other process

The soak's second signal could come between the end of a host and its next start. Signal does nothing now once the end has been waited for, and HasEnded says so.

--- a/tests/processes/child_process.cc
+++ b/tests/processes/child_process.cc
@@ -36,14 +36,16 @@
 }
 
 void ChildProcess::Signal(int signal) const {
-  kill(pid_, signal);
+  // A negative number would name all processes of the user.
+  if (pid_ > 0)
+    kill(pid_, signal);
 }
 
 bool ChildProcess::HasEnded() const {
   siginfo_t info{};
-  return waitid(P_PID, static_cast<id_t>(pid_), &info,
-                WEXITED | WNOHANG | WNOWAIT) == 0 &&
-         info.si_pid == pid_;
+  return pid_ < 0 || (waitid(P_PID, static_cast<id_t>(pid_), &info,
+                             WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                      info.si_pid == pid_);
 }
 
 std::optional<int> ChildProcess::Wait() {
--- a/tests/processes/child_process.h
+++ b/tests/processes/child_process.h
@@ -22,9 +22,11 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  /// Sends a signal, unless the end has been waited for.
   void Signal(int signal) const;
 
-  /// @return whether it has ended. Its exit code stays for Wait().
+  /// @return whether it has ended. Its exit code stays for Wait(), unless that
+  ///     has been called.
   [[nodiscard]] bool HasEnded() const;
 
   /// Waits for the end.
