--- a/src/comfreyvane/edge/configuration_freshness.h
+++ b/src/comfreyvane/edge/configuration_freshness.h
@@ -26,18 +26,23 @@
     confirmed_at_ = std::max(confirmed_at_, at);
   }
 
-  /// @return time since the last confirmation; zero if there was none.
+  /// @return time since the last confirmation, or since the start of the clock
+  ///     if there was none.
   [[nodiscard]] Duration Age(TimePoint now) const {
-    return confirmed_at_ == TimePoint{} ? Duration::zero()
-                                        : now - confirmed_at_;
+    return now - confirmed_at_;
   }
 
-  /// @return whether a request that is bound to regions may be sent.
+  /// @return whether a request that is bound to regions may be sent: it arrives
+  ///     before a newer version is in force.
   [[nodiscard]] bool MaySendBound(TimePoint now) const {
-    return confirmed_at_ != TimePoint{} && now - confirmed_at_ <= max_age_;
+    return confirmed_at_ != TimePoint{} &&
+           Age(now) <= max_age_ - std::min(kMaxTransit, max_age_);
   }
 
  private:
+  /// Time within which a request that is sent reaches its server.
+  static constexpr Duration kMaxTransit = std::chrono::milliseconds(250);
+
   Duration max_age_;
   TimePoint confirmed_at_{};
 };
--- a/src/comfreyvane/edge/feed_schedule.cc
+++ b/src/comfreyvane/edge/feed_schedule.cc
@@ -47,11 +47,13 @@
 }
 
 TimePoint FeedSchedule::OverdueAt(const FeedCall& call) {
-  return std::max(call.begun + call.wait +
-                      (call.is_snapshot ? kSnapshotPatience : kPatience),
-                  call.received_at == TimePoint{}
-                      ? TimePoint{}
-                      : call.received_at + kPatience);
+  const TimePoint expected = call.begun + call.wait;
+  const TimePoint overdue =
+      expected + (call.is_snapshot ? kSnapshotPatience : kPatience);
+  if (call.received_at == TimePoint{})
+    return overdue;
+  return std::max(overdue, std::min(call.received_at + kPatience,
+                                    expected + kMaxTransferTime));
 }
 
 TimePoint FeedSchedule::OverdueAt(const TableProgress& progress) {
@@ -238,12 +240,14 @@
 
 void FeedSchedule::OnConfirmed(StoreTable table, TimePoint at) {
   TableProgress& progress = Progress(table);
-  progress.confirmed_at = std::max(progress.confirmed_at, at);
+  // A restored copy shows what had been accepted before, until what was lost
+  // has been written again.
+  if (progress.reread_at == TimePoint::max())
+    progress.confirmed_at = std::max(progress.confirmed_at, at);
 }
 
 void FeedSchedule::OnRelayProgress(TimePoint now) {
-  if (now < relayed_until_)
-    relayed_until_ = std::max(relayed_until_, now + kPatience);
+  relayed_until_ = std::max(relayed_until_, now + kPatience);
 }
 
 void FeedSchedule::OnRelayLost(TimePoint now) {
--- a/src/comfreyvane/edge/feed_schedule.h
+++ b/src/comfreyvane/edge/feed_schedule.h
@@ -124,6 +124,9 @@
   /// Time after a relay's answer during which the store is not called: a held
   /// call and its timeout.
   static constexpr Duration kRelayTimeout = std::chrono::milliseconds(900);
+  /// Time for the transfer of an answer, after which another call is made
+  /// although parts of it arrive.
+  static constexpr Duration kMaxTransferTime = std::chrono::seconds(4);
   /// Maximum time since the operator's table was confirmed at a host that
   /// relays, which earlier builds do not state.
   static constexpr Duration kMaxRelayAge = std::chrono::milliseconds(1750);
--- a/src/comfreyvane/gateway/backend_client.cc
+++ b/src/comfreyvane/gateway/backend_client.cc
@@ -200,8 +200,9 @@
     co_return;
   // The server or the configuration may have changed during the connect.
   if (!context_.backends.MaySend(entry, attempt.request.pick) ||
-      !MaySend(attempt.request, now)) {
-    attempt.connection.reset();
+      !attempt.request.IsCurrent(context_.table.get(), context_.freshness,
+                                 now)) {
+    Withdraw(attempt);
     co_return;
   }
   attempt.sent_at = now;
@@ -214,9 +215,10 @@
   RecordPath(attempt, server);
 }
 
-bool BackendClient::MaySend(const GatewayRequest& request,
-                            TimePoint now) const {
-  return request.MaySend(context_.table.get(), context_.freshness, now);
+void BackendClient::Withdraw(Attempt& attempt) {
+  attempt.connection.reset();
+  attempt.result.was_withdrawn = true;
+  attempt.result.outcome = RequestOutcome::kCancelled;
 }
 
 void BackendClient::RecordPath(const Attempt& attempt, BackendServerId server) {
@@ -241,8 +243,9 @@
   }
   if (!attempt.connection || attempt.is_cancelled)
     co_return;
-  if (!MaySend(attempt.request, MonotonicNow())) {
-    attempt.connection.reset();
+  if (!attempt.request.IsCurrent(context_.table.get(), context_.freshness,
+                                 MonotonicNow())) {
+    Withdraw(attempt);
     co_return;
   }
   RequestHead to_carrier = HeadToCarrier(
@@ -263,6 +266,8 @@
                          carrier.incarnation,         context_.settings.region,
                          request.pick.service,        request.attempts};
   head.set(kCarriedMarkField, EncodeCarriedMark(mark));
+  if (request.pick.is_bound())
+    head.set(kCarriedVersionField, std::to_string(request.table->version()));
   attempt.code = CarriedCodeOf(head, request.body, context_.fleet_secret);
   head.set(kCarriedCodeField, attempt.code);
 }
--- a/src/comfreyvane/gateway/backend_client.h
+++ b/src/comfreyvane/gateway/backend_client.h
@@ -94,9 +94,9 @@
   [[nodiscard]] asio::awaitable<void> SendToCarrier(Attempt& attempt,
                                                     const RequestHead& head,
                                                     const Carrier& carrier);
-  /// @return whether a request may be sent by the configuration in force.
-  [[nodiscard]] bool MaySend(const GatewayRequest& request,
-                             TimePoint now) const;
+  /// Ends an attempt that has not been sent, since what it was decided on has
+  /// changed.
+  void Withdraw(Attempt& attempt);
   /// Sends a request and reads the answer.
   [[nodiscard]] asio::awaitable<void> Send(Attempt& attempt, RequestHead head);
   /// Adds the mark and its authentication code to the head for a carrier.
--- a/src/comfreyvane/gateway/call_result.h
+++ b/src/comfreyvane/gateway/call_result.h
@@ -30,7 +30,9 @@
   RefusalReason reason = RefusalReason::kBackendConnectFailed;
   RunState run_state = RunState::kNotRun;
   RequestOutcome outcome = RequestOutcome::kConnectFailed;
-  bool caller_gone = false;           ///< The caller closed its connection.
+  bool caller_gone = false;  ///< The caller closed its connection.
+  /// Not sent: the server or the configuration has changed since the choice.
+  bool was_withdrawn = false;
   bool used_open_connection = false;  ///< No new connection was needed.
   bool closed_mid_request =
       false;  ///< The server closed after it got the request.
--- a/src/comfreyvane/gateway/carried_codec.h
+++ b/src/comfreyvane/gateway/carried_codec.h
@@ -19,6 +19,10 @@
 inline constexpr std::string_view kCarriedVerdictField =
     "X-Comfreyvane-Verdict";
 inline constexpr std::string_view kCarriedCodeField = "X-Comfreyvane-Code";
+/// Version of the origin's configuration, if the request is bound to regions.
+/// Carriers of earlier builds ignore it.
+inline constexpr std::string_view kCarriedVersionField =
+    "X-Comfreyvane-Version";
 
 [[nodiscard]] std::string EncodeCarriedMark(const CarriedMark& mark);
 /// @return nothing if a part is missing or invalid.
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 
 #include "comfreyvane/base/hash.h"
+#include "comfreyvane/base/number_of.h"
 #include "comfreyvane/gateway/carried_codec.h"
 #include "comfreyvane/gateway/limit_log.h"
 #include "comfreyvane/gateway/message_heads.h"
@@ -104,6 +105,13 @@
   request.pick.origin_region = RegionId::Of(request.carried->region);
 }
 
+bool GatewayHandler::IsOlderThanOrigin(
+    const http::request_header<>& head) const {
+  const auto version =
+      NumberOf<std::uint64_t>(std::string(head[kCarriedVersionField]));
+  return version && (!context_.table || context_.table->version() < *version);
+}
+
 CarriedAdmission GatewayHandler::CheckMark(const http::request_header<>& head,
                                            GatewayRequest& request) {
   const CarriedMark& mark = *request.carried;
@@ -134,6 +142,8 @@
     return Refusal{reason, RunState::kNotRun, Duration::zero()};
   };
   request.table = context_.table;
+  request.route = nullptr;
+  request.workspace = nullptr;
   if (!request.table)
     return refused(RefusalReason::kConfigurationMissing);
   request.route =
@@ -167,21 +177,22 @@
   const std::uint64_t route_hash = HashBytes(route.name);
   pick.kind = HashPair(route_hash, pick.service.value());
   const std::string_view object = CookieOf(head, context_.headers.affinity);
-  if (route.sticky && !object.empty())
-    pick.object = HashPair(route_hash, HashBytes(object));
+  pick.object = route.sticky && !object.empty()
+                    ? HashPair(route_hash, HashBytes(object))
+                    : 0;
   pick.idempotent = route.idempotent;
   pick.objective = route.objective;
   pick.deadline = request.deadline;
   SetRegions(request);
+}
+
+RetryBudget& GatewayHandler::RetryBudgetOf(ServiceId service) {
   const double slack =
       context_.settings.retry_slack * kRetryBudgetFraction /
       static_cast<double>(std::max<std::size_t>(1, context_.fleet.size()));
   const auto [budget, added] = context_.retry_budgets.try_emplace(
-      pick.service, context_.settings.retry_ratio * kRetryBudgetFraction,
-      slack);
-  // The host of the caller has been credited with a carried request.
-  if (!request.carried)
-    budget->second.OnSuccess();
+      service, context_.settings.retry_ratio * kRetryBudgetFraction, slack);
+  return budget->second;
 }
 
 void GatewayHandler::SetService(GatewayRequest& request) {
@@ -214,28 +225,29 @@
     const http::request_header<>& head,
     GatewayRequest& request,
     TimePoint now) {
+  const Refusal stale{RefusalReason::kConfigurationStale, RunState::kNotRun,
+                      kStaleRetryAfter};
   if (request.table != context_.table) {
     const WorkspaceId workspace = request.workspace_id();
     if (auto refusal = ResolveRoute(head, request))
       return refusal;
-    // Its token belongs to the former workspace.
+    // The token of its limit belongs to the former workspace.
     if (request.workspace_id() != workspace)
-      return Refusal{RefusalReason::kKeyUnknown, RunState::kNotRun, {}};
+      return stale;
     SetPickRequest(head, request);
   }
-  if (!request.pick.is_bound() || context_.freshness.MaySendBound(now))
-    return std::nullopt;
-  return Refusal{RefusalReason::kConfigurationStale, RunState::kNotRun,
-                 kStaleRetryAfter};
+  if (request.pick.is_bound() && !context_.freshness.MaySendBound(now))
+    return stale;
+  return std::nullopt;
 }
 
-bool GatewayHandler::MaySend(const GatewayRequest& request,
-                             const GatewayDispatcher::Grant& grant,
-                             TimePoint now) {
-  const bool may_send =
+bool GatewayHandler::KeepGrant(const GatewayRequest& request,
+                               const GatewayDispatcher::Grant& grant,
+                               TimePoint now) {
+  const bool is_current =
       !std::holds_alternative<GatewayDispatcher::ConfigurationChanged>(grant) &&
-      request.MaySend(context_.table.get(), context_.freshness, now);
-  if (may_send)
+      request.IsCurrent(context_.table.get(), context_.freshness, now);
+  if (is_current)
     return true;
   if (const auto* choice = std::get_if<BackendChoice>(&grant)) {
     dispatcher_.Release(request, *choice, RequestOutcome::kCancelled,
@@ -301,8 +313,7 @@
     context_.metrics.CountRetry(RetryReason::kConnectFailed);
     return true;
   }
-  const auto budget = context_.retry_budgets.find(request.pick.service);
-  if (budget == context_.retry_budgets.end() || !budget->second.TrySpend())
+  if (!RetryBudgetOf(request.pick.service).TrySpend())
     return false;
   context_.metrics.CountRetry(may_have_run ? RetryReason::kServerFailed
                                            : RetryReason::kServerShed);
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -127,6 +127,10 @@
   /// request is not accepted later.
   static void SetMark(const boost::beast::http::request_header<>& head,
                       GatewayRequest& request);
+  /// @return whether the origin of a request that is bound to regions has a
+  ///     newer configuration than this host.
+  [[nodiscard]] bool IsOlderThanOrigin(
+      const boost::beast::http::request_header<>& head) const;
   /// Checks the mark of a carried request, whose body has been read, and logs
   /// why it is not accepted.
   [[nodiscard]] CarriedAdmission CheckMark(
@@ -137,8 +141,7 @@
   [[nodiscard]] std::optional<Refusal> ResolveRoute(
       const boost::beast::http::request_header<>& head,
       GatewayRequest& request);
-  /// Sets the criteria for the choice of a backend server, and credits the
-  /// retry budget of the service with the request.
+  /// Sets the criteria for the choice of a backend server.
   void SetPickRequest(const boost::beast::http::request_header<>& head,
                       GatewayRequest& request);
   /// Sets the regions where a request may run by its route and its workspace.
@@ -154,11 +157,12 @@
       TimePoint now);
   void SetFingerprint(const boost::beast::http::request_header<>& head,
                       GatewayRequest& request) const;
-  /// @return whether a granted attempt may begin. If the configuration has
-  ///     changed meanwhile, the grant is returned.
-  [[nodiscard]] bool MaySend(const GatewayRequest& request,
-                             const GatewayDispatcher::Grant& grant,
-                             TimePoint now);
+  [[nodiscard]] RetryBudget& RetryBudgetOf(ServiceId service);
+  /// Releases the grant if the configuration has changed meanwhile.
+  /// @return whether the granted attempt may begin.
+  [[nodiscard]] bool KeepGrant(const GatewayRequest& request,
+                               const GatewayDispatcher::Grant& grant,
+                               TimePoint now);
   /// Takes a token from the workspace's limit. If none is left, requests some
   /// from other hosts and waits briefly for them.
   /// @return false if the request exceeds the limit.
@@ -299,9 +303,13 @@
                                                       MonotonicNow())};
   }
   SetPickRequest(exchange.head(), request);
+  // The host of the caller has been credited with a carried request.
+  if (!request.carried)
+    RetryBudgetOf(request.pick.service).OnSuccess();
+  const WorkspaceId workspace = request.workspace_id();
   auto refusal = co_await RunAttempts(exchange, request);
   if (refusal && refusal->run_state == RunState::kNotRun && !request.carried)
-    context_.limiter.Return(request.workspace_id(), MonotonicNow());
+    context_.limiter.Return(workspace, MonotonicNow());
   co_return refusal;
 }
 
@@ -358,6 +366,8 @@
   }
   if (context_.leaving)
     return refused(RefusalReason::kHostLeaving);
+  if (IsOlderThanOrigin(exchange.head()))
+    return refused(RefusalReason::kConfigurationStale);
   context_.metrics.Count(CounterName::kCarriedForPeers);
   return std::nullopt;
 }
@@ -382,7 +392,7 @@
     if (const auto* refusal = std::get_if<Refusal>(&grant)) {
       co_return Refusal{refusal->reason, run_state, refusal->retry_after};
     }
-    if (!MaySend(request, grant, MonotonicNow()))
+    if (!KeepGrant(request, grant, MonotonicNow()))
       continue;
     AttemptEnd end;
     if (const auto* choice = std::get_if<BackendChoice>(&grant)) {
@@ -395,6 +405,8 @@
     const TimePoint ended = MonotonicNow();
     if (result.caller_gone)
       co_return Refusal{RefusalReason::kCallerGone, result.run_state, {}};
+    if (result.was_withdrawn)
+      continue;
     if (result.outcome == RequestOutcome::kConnectFailed)
       ++connect_failures;
     else
@@ -461,12 +473,15 @@
   const bool has_tried_nothing = result.run_state == RunState::kNotRun &&
                                  result.carrier_attempts == 0 &&
                                  result.outcome == RequestOutcome::kShed;
-  const bool may_go_elsewhere = result.reason == RefusalReason::kNoPath ||
-                                result.reason == RefusalReason::kHostLeaving;
+  const bool may_go_elsewhere =
+      result.reason == RefusalReason::kNoPath ||
+      result.reason == RefusalReason::kHostLeaving ||
+      result.reason == RefusalReason::kConfigurationStale;
   // No server has had it, so that it costs no retry.
   if (has_tried_nothing && may_go_elsewhere)
     result.outcome = RequestOutcome::kConnectFailed;
-  const bool is_served = result.head.has_value() || result.caller_gone;
+  const bool is_served =
+      result.head.has_value() || result.caller_gone || result.was_withdrawn;
   context_.carriers.OnFinished(
       host, is_served && result.outcome != RequestOutcome::kConnectFailed,
       ended);
--- a/src/comfreyvane/gateway/gateway_request.h
+++ b/src/comfreyvane/gateway/gateway_request.h
@@ -42,12 +42,12 @@
   std::string carried_code{};  ///< Authentication code of a carried request.
   std::vector<HostId> tried_carriers{};
 
-  /// @return whether the request may be sent by the configuration that it was
-  ///     checked against.
   /// @param in_force configuration in force; may be null.
-  [[nodiscard]] bool MaySend(const RouteTable* in_force,
-                             const ConfigurationFreshness& freshness,
-                             TimePoint now) const {
+  /// @return whether the request has been checked against the configuration in
+  ///     force, and that is recent enough for it.
+  [[nodiscard]] bool IsCurrent(const RouteTable* in_force,
+                               const ConfigurationFreshness& freshness,
+                               TimePoint now) const {
     return table.get() == in_force &&
            (!pick.is_bound() || freshness.MaySendBound(now));
   }
--- a/src/comfreyvane/gateway/message_heads.cc
+++ b/src/comfreyvane/gateway/message_heads.cc
@@ -26,6 +26,7 @@
 /// @return whether only hosts send the field, to each other.
 bool IsOfHosts(std::string_view name) {
   return Equals(name, kCarriedMarkField) ||
+         Equals(name, kCarriedVersionField) ||
          Equals(name, kCarriedVerdictField) || Equals(name, kCarriedCodeField);
 }
 
--- a/src/comfreyvane/gateway/store_follower.h
+++ b/src/comfreyvane/gateway/store_follower.h
@@ -333,8 +333,10 @@
       rows_.ApplySnapshot(table, feed, schedule_.KeepsMissingRows(table), now);
     else
       rows_.ApplyChanges(table, feed, now);
-    state_.context().freshness.OnConfirmed(
-        schedule_.ConfirmedAt(StoreTable::kOperator));
+    if (!rows_.has_skipped_configuration()) {
+      state_.context().freshness.OnConfirmed(
+          schedule_.ConfirmedAt(StoreTable::kOperator));
+    }
     if (!feed.rows.empty())
       Wake(relay_waiters_);
   }
--- a/src/comfreyvane/gateway/store_rows.h
+++ b/src/comfreyvane/gateway/store_rows.h
@@ -107,6 +107,11 @@
   }
 
   [[nodiscard]] bool has_read_hosts() const { return has_read_hosts_; }
+  /// @return whether the newest configuration could not be read, so that an
+  ///     older one is in force.
+  [[nodiscard]] bool has_skipped_configuration() const {
+    return has_skipped_configuration_;
+  }
 
  private:
   static constexpr std::string_view kSecretRowKey = "!secret";
@@ -157,11 +162,15 @@
     const auto decoded = Platform::DecodeOperatorRow(row);
     using Table = std::shared_ptr<const RouteTable>;
     if (const auto* table = std::get_if<Table>(&decoded)) {
+      has_skipped_configuration_ = false;
       if (!deleted)
         state_.ApplyConfiguration(*table, now);
     } else if (const auto* fault = std::get_if<2>(&decoded)) {
-      if (!deleted)
+      if (!deleted) {
+        has_skipped_configuration_ =
+            has_skipped_configuration_ || Platform::IsConfiguration(row);
         SkipRow(row, Name(*fault));
+      }
     } else {
       const auto& domain = std::get<1>(decoded).failure_domain;
       state_.SetEvacuated(domain, !deleted, now);
@@ -220,6 +229,7 @@
   TimePoint outdated_entries_until_{};  ///< Old entries may reappear.
   std::uint64_t era_ = 0;
   bool has_read_hosts_ = false;
+  bool has_skipped_configuration_ = false;
 };
 
 }  // namespace comfreyvane
--- a/src/comfreyvane/net/http_client.h
+++ b/src/comfreyvane/net/http_client.h
@@ -42,7 +42,7 @@
   /// Time without a part of an answer after which it is given up.
   static constexpr Duration kStallTimeout = std::chrono::milliseconds(400);
   /// Time beyond the deadline within which an answer must be complete.
-  static constexpr Duration kMaxTransferTime = std::chrono::seconds(20);
+  static constexpr Duration kMaxTransferTime = std::chrono::seconds(8);
 
   [[nodiscard]] const tcp::endpoint& server() const { return server_; }
 
--- a/tests/comfreyvane/edge/large_configuration_test.cc
+++ b/tests/comfreyvane/edge/large_configuration_test.cc
@@ -130,3 +130,23 @@
     }
   }
 }
+
+Test(bound_requests, are_not_sent_by_a_restored_copy) {
+  for (const std::size_t hosts : kFleets) {
+    FeedFleet fleet(OptionsOf(hosts));
+    fleet.Run(seconds(12));
+    const std::uint64_t before = fleet.version();
+    for (std::size_t i = 0; i < hosts; ++i)
+      fleet.refused.insert(i);
+    const TimePoint replaced_at = fleet.now();
+    fleet.Write(before + 2);
+    fleet.Run(seconds(4));
+    fleet.refused.clear();
+    fleet.Restore(1, before);
+    for (int step = 0; step < 100; ++step) {
+      fleet.Run(milliseconds(20));
+      const std::size_t count = HostsSendingByAnOldTable(fleet, replaced_at);
+      cr_assert(count == 0, "%zu of %zu hosts, step %d", count, hosts, step);
+    }
+  }
+}
--- a/tests/platform/region_bound_requests_test.cc
+++ b/tests/platform/region_bound_requests_test.cc
@@ -77,3 +77,32 @@
       },
       kTries));
 }
+
+Test(region_bound_requests,
+     run_by_a_configuration_that_was_replaced_while_they_waited,
+     .timeout = 60) {
+  Deployment deployment;
+  Write(deployment, "00000002", "west");
+  cr_assert(Serves(deployment, 0, "/b/", kTries));
+  // Requests wait until the servers want some again.
+  deployment.OnStandins([&] {
+    deployment.first.wait = "0.4";
+    deployment.second.wait = "0.4";
+  });
+  static_cast<void>(deployment.Request("/b/1", "q1"));
+  static_cast<void>(deployment.Request("/b/1", "q2"));
+  deployment.OnStandins([&] {
+    deployment.first.wait.clear();
+    deployment.second.wait.clear();
+  });
+  std::string answer;
+  std::thread waiting([&] { answer = deployment.Request("/b/1", "q3"); });
+  std::this_thread::sleep_for(milliseconds(50));
+  // The route is dropped, and the former configuration with it.
+  deployment.OnStandins([&] {
+    deployment.store.Put("op", "config", Configuration("00000003", "/q/"));
+  });
+  waiting.join();
+  cr_expect(!answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+  cr_expect(Serves(deployment, 0, "/q/", kTries));
+}
