net: a stop closes no connection whose request has been read

Callers saw a request run and its connection closed without an answer, at a planned stop under load. A connection was taken for idle if its buffer was empty and its socket had no bytes. A read that had completed, but whose completion was still queued, left both empty: the request was then served on a closed connection. The same hit the next request of a kept connection.

An idle connection is now told to end by cancelling its read. A completed read takes no notice of that, and after a cancelled one the socket is looked at again, so that a connection is closed unread only if nothing of a request has arrived. One that has just been answered sends its end and reads on for a moment, since a reset could overtake the answer. Answers that begin after the signal say that their connection closes; before, only those to requests that were read after it did.

unfinished() counts connections from their accept on, so that an exit can wait for those that have been accepted and not read yet.

Evidence: caller_listener_stop_test stops a listener after each handler of its event loop.

--- a/src/comfreyvane/host/request_handler.h
+++ b/src/comfreyvane/host/request_handler.h
@@ -106,11 +106,13 @@
   run.terms = *terms;
   if (const auto refusal = context_.stop.TryStart())
     co_return co_await AnswerRefusal(exchange, run, *refusal);
-  bool go_on = exchange.keep_alive();
+  bool go_on = false;
   if (SystemRoutes::Owns(run.terms.path))
     go_on = co_await HandleSystemRoute(exchange, run);
   else if (const auto refusal = co_await Serve(exchange, run))
     go_on = co_await AnswerRefusal(exchange, run, *refusal);
+  else
+    go_on = exchange.keep_alive();
   context_.stop.Finish(MonotonicNow());
   co_return go_on&& exchange.socket().is_open();
 }
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -108,8 +108,10 @@
     return !parser_ || parser_->is_done();
   }
   /// @return whether the connection carries another request after this one;
-  /// the same for the whole of a request, so that the answer says what happens.
-  [[nodiscard]] bool keep_alive() const { return keep_alive_; }
+  /// the same from the start of the answer on, so that it says what happens.
+  [[nodiscard]] bool keep_alive() const {
+    return keep_alive_ && (is_answering_ || !is_leaving());
+  }
 
   /// @param leaving once true, each request is the last of its connection;
   /// must outlive the exchange.
@@ -141,10 +143,12 @@
 
   /// Writes a whole answer of the host's own.
   [[nodiscard]] asio::awaitable<ExchangeFailure> WriteAnswer(Answer& answer) {
+    BeginAnswer();
     watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
     const auto [error, size] =
         co_await boost::beast::http::async_write(stream_, answer, kAwait);
     watchdog_.Disarm();
+    answered_at_ = MonotonicNow();
     co_return FailureOf(error);
   }
 
@@ -153,10 +157,12 @@
       StreamedMessage<false>& message,
       std::span<const char> chunk,
       bool last) {
+    BeginAnswer();
     watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
     const ExchangeFailure failure =
         co_await message.Write(stream_, chunk, last);
     watchdog_.Disarm();
+    answered_at_ = MonotonicNow();
     co_return failure;
   }
 
@@ -214,13 +220,24 @@
     socket().cancel(ignored);
   }
 
-  /// Closes the connection at once if no request has begun to arrive. One that
-  /// crosses the close is reset unread, so that the caller may repeat it.
-  void CloseIfIdle() {
-    error_code error;
-    const bool unread = socket().available(error) > 0;
-    if (buffer_.size() == 0 && !unread)
-      socket().close(error);
+  /// Ends the wait for a request, now or when it begins, unless one has begun
+  /// to arrive: that one is still read. One that crosses the close is reset
+  /// unread, so that the caller may repeat it.
+  void EndWhenIdle() {
+    ends_when_idle_ = true;
+    // A read that has completed takes no notice, though it may not have been
+    // resumed yet.
+    if (awaits_request_)
+      CancelAll();
+  }
+
+  /// Refuses a request whose head has been read in part, now or as soon as it
+  /// is waited for.
+  void GiveUpHead() {
+    ends_when_idle_ = true;
+    gives_up_head_ = true;
+    if (reads_head_)
+      CancelAll();
   }
 
  private:
@@ -234,24 +251,60 @@
     return {static_cast<const char*>(data.data()), data.size()};
   }
 
+  [[nodiscard]] bool is_leaving() const {
+    return leaving_ != nullptr && *leaving_;
+  }
+
+  /// Fixes what the answer says of the connection.
+  void BeginAnswer() {
+    keep_alive_ = keep_alive();
+    is_answering_ = true;
+  }
+
+  [[nodiscard]] bool HasUnread() {
+    error_code error;
+    return socket().available(error) > 0;
+  }
+
   [[nodiscard]] asio::awaitable<bool> ReadMore() {
     const bool first = buffer_.size() == 0;
     const std::size_t room =
         std::min(kReadBytes, buffer_.max_size() - buffer_.size());
-    const auto [error, size] =
-        co_await stream_.async_read_some(buffer_.prepare(room), kAwait);
-    if (error)
-      co_return false;
-    buffer_.commit(size);
+    while (true) {
+      if (first ? ends_when_idle_ && !HasUnread() : gives_up_head_)
+        co_return false;
+      awaits_request_ = first;
+      reads_head_ = true;
+      const auto [error, size] =
+          co_await stream_.async_read_some(buffer_.prepare(room), kAwait);
+      awaits_request_ = false;
+      reads_head_ = false;
+      if (!error) {
+        buffer_.commit(size);
+        break;
+      }
+      const bool is_told_to_end =
+          error == asio::error::operation_aborted && ends_when_idle_;
+      if (!first || !is_told_to_end || watchdog_.fired())
+        co_return false;
+    }
     if (first)
       watchdog_.Arm(MonotonicNow() + limits_.header_timeout);
     co_return true;
   }
 
-  [[nodiscard]] HeadResult EndOfHead() const {
+  [[nodiscard]] HeadResult EndOfHead() {
+    if (buffer_.size() > 0 && gives_up_head_)
+      return {false, RefusalReason::kHostLeaving};
     // A caller that began a head and stalled is told so; an idle one is not.
     if (watchdog_.fired() && buffer_.size() > 0)
       return {false, RefusalReason::kSlowCaller};
+    // A reset must not overtake an answer.
+    const bool is_settled =
+        !answered_at_ || MonotonicNow() - *answered_at_ >= kLingerTime;
+    error_code ignored;
+    if (ends_when_idle_ && buffer_.size() == 0 && is_settled)
+      socket().close(ignored);
     return {true, std::nullopt};
   }
 
@@ -271,8 +324,8 @@
     if (error || !parser_->is_header_done())
       return {false, RefusalReason::kMalformedRequest};
     buffer_.consume(used);
-    keep_alive_ =
-        parser_->get().keep_alive() && (leaving_ == nullptr || !*leaving_);
+    is_answering_ = false;
+    keep_alive_ = parser_->get().keep_alive();
     return {false, CheckHead(head())};
   }
 
@@ -330,6 +383,12 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   int watch_ = 0;
   bool keep_alive_ = false;
+  bool is_answering_ = false;
+  std::optional<TimePoint> answered_at_;
+  bool awaits_request_ = false;  ///< Reads, and no byte of it has come.
+  bool reads_head_ = false;
+  bool ends_when_idle_ = false;
+  bool gives_up_head_ = false;
   const bool* leaving_ = nullptr;
 };
 
--- a/src/comfreyvane/net/caller_listener.h
+++ b/src/comfreyvane/net/caller_listener.h
@@ -66,7 +66,10 @@
     return acceptor_.local_endpoint();
   }
 
-  void Start() { asio::co_spawn(io_, Accept(), asio::detached); }
+  void Start() {
+    is_accepting_ = true;
+    asio::co_spawn(io_, Accept(), asio::detached);
+  }
 
   /// Each answer from now on closes its connection.
   void BeginLeaving() { leaving_ = true; }
@@ -75,7 +78,7 @@
   void SetLimits(const HttpLimits& limits) { limits_ = limits; }
 
   /// Takes what has connected already, then accepts no more, and closes the
-  /// connections that are idle. Running requests go on.
+  /// connections that are idle. Requests that have begun to arrive go on.
   void StopAccepting() {
     leaving_ = true;
     stopped_ = true;
@@ -84,25 +87,48 @@
     while (!error)
       Serve(acceptor_.accept(error));
     acceptor_.close(error);
-    for (auto& idle : idle_)
-      idle();
+    for (const Reading& reading : reading_)
+      reading.end_when_idle();
+  }
+
+  /// Refuses the requests whose heads have been read in part.
+  /// @pre StopAccepting was called.
+  void GiveUpHeads() {
+    gives_up_ = true;
+    for (const Reading& reading : reading_)
+      reading.give_up();
   }
 
   /// @return connections that are open.
   [[nodiscard]] std::size_t connections() const { return connections_; }
 
+  /// @return connections that are open or may just have been accepted. Once
+  ///     StopAccepting was called, each holds a request, a part of one, or an
+  ///     answer that its caller has not taken.
+  [[nodiscard]] std::size_t unfinished() const {
+    return connections_ + (is_accepting_ ? 1 : 0);
+  }
+
  private:
+  /// A connection that waits for a head or reads one.
+  struct Reading {
+    std::function<void()> end_when_idle;
+    std::function<void()> give_up;
+  };
+
   asio::awaitable<void> Accept() {
     while (!stopped_) {
       auto accepted = co_await acceptor_.async_accept(kAwait);
       Serve(std::move(std::get<tcp::socket>(accepted)));
     }
+    is_accepting_ = false;
   }
 
   /// @param socket not open if the accept failed.
   void Serve(tcp::socket socket) {
     if (!socket.is_open())
       return;
+    ++connections_;
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     if (tls_ == nullptr)
@@ -125,19 +151,25 @@
                                        sweeper_, limits_);
     if (co_await exchange.HandshakeAsServer())
       co_await ServeRequests(exchange);
+    else
+      --connections_;
   }
   // NOLINTEND(bugprone-use-after-move)
 
   template <typename Exchange>
   asio::awaitable<void> ServeRequests(Exchange& exchange) {
-    ++connections_;
     exchange.FollowLeaving(leaving_);
     bool go_on = true;
     while (go_on) {
-      const auto place =
-          idle_.insert(idle_.end(), [&exchange] { exchange.CloseIfIdle(); });
+      const auto place = reading_.insert(
+          reading_.end(), Reading{[&exchange] { exchange.EndWhenIdle(); },
+                                  [&exchange] { exchange.GiveUpHead(); }});
+      if (stopped_)
+        exchange.EndWhenIdle();
+      if (gives_up_)
+        exchange.GiveUpHead();
       const auto head = co_await exchange.ReadHead();
-      idle_.erase(place);
+      reading_.erase(place);
       if (head.ended)
         break;
       if (head.refusal) {
@@ -156,10 +188,12 @@
   TimeoutSweeper& sweeper_;
   HttpLimits limits_;
   Handler& handler_;
-  std::list<std::function<void()>> idle_;
+  std::list<Reading> reading_;
   std::size_t connections_ = 0;
   bool leaving_ = false;
   bool stopped_ = false;
+  bool is_accepting_ = false;
+  bool gives_up_ = false;
 };
 
 }  // namespace comfreyvane
