gateway: a planned stop takes only what can end within the grace

Callers of a host that was stopped as planned saw requests taken late in the grace, passed on, and cut without an answer at its end, among them requests that may not be repeated. The stop had three clocks that knew nothing of each other: connections were accepted for 2.5 s, requests on open ones were taken until the end, and 0.3 s before the end of the grace the process ended beside whatever ran. It also ended as soon as no request was counted, though connections could hold requests that had been read and not yet counted, bytes that had not been read, or answers that their callers had not taken.

StopCore, which the older program uses by StopGate, now decides the gateway's stop too; StopDriver carries it out. A request is taken in the first 2.5 s if three times its expected work and its wait, or its deadline, end before running requests are given up, and later only if its deadline does. The same is asked before each attempt, before a retry and, every 5 ms, of requests that wait: what cannot end in time is refused with host-leaving, not run. A tenth of the grace before its end, 0.6 s at most, the rest is answered: 502 for what may have run, 503 for what has not, also for heads and bodies that were read in part. Only requests from before the end of the first 2.5 s can be hit by that, in the last sixth of the grace. The process exits when callers, hosts and then look-ups have no connection open, or a twentieth of the grace before its end, 0.3 s at most.

The grace comes from the settings. Calls of other hosts end by the same rules.

--- a/src/comfreyvane/drain/fwd.h
+++ b/src/comfreyvane/drain/fwd.h
@@ -7,9 +7,11 @@
 
 enum class StopPhase;
 struct StopSettings;
+struct StopTerms;
 struct AnnounceLeaving;
 struct StopAccepting;
 struct ReturnLeases;
+struct GiveUp;
 struct CloseAll;
 struct ServerDrained;
 class StopCore;
--- a/src/comfreyvane/drain/stop_action.h
+++ b/src/comfreyvane/drain/stop_action.h
@@ -26,14 +26,21 @@
   friend bool operator==(const ReturnLeases&, const ReturnLeases&) = default;
 };
 
-/// Close the remaining connections and exit; no request is running.
+/// Answer the requests that still run or wait, since the process is about to
+/// be killed.
+struct GiveUp {
+  friend bool operator==(const GiveUp&, const GiveUp&) = default;
+};
+
+/// Close the remaining connections and exit; no request is running, or the
+/// process is about to be killed.
 struct CloseAll {
   friend bool operator==(const CloseAll&, const CloseAll&) = default;
 };
 
 /// An action of a planned stop.
-using StopAction =
-    std::variant<AnnounceLeaving, StopAccepting, ReturnLeases, CloseAll>;
+using StopAction = std::
+    variant<AnnounceLeaving, StopAccepting, ReturnLeases, GiveUp, CloseAll>;
 
 /// Actions in order of execution.
 using StopActions = std::vector<StopAction>;
--- a/src/comfreyvane/gateway/fwd.h
+++ b/src/comfreyvane/gateway/fwd.h
@@ -32,6 +32,7 @@
 class PathSupervisor;
 class PeerLink;
 class RelayClient;
+class StopDriver;
 class TableMonitor;
 template <typename Relay, typename Requests>
 class PeerHandler;
--- a/src/comfreyvane/gateway/gateway_context.h
+++ b/src/comfreyvane/gateway/gateway_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "comfreyvane/drain/stop_core.h"
 #include "comfreyvane/edge/backend_picker.h"
 #include "comfreyvane/edge/carrier_picker.h"
 #include "comfreyvane/edge/fleet_view.h"
@@ -60,6 +61,7 @@
   /// Requests that have been received but not answered.
   std::uint32_t running_requests = 0;
   bool leaving = false;  ///< This host is shutting down.
+  StopCore stop{StopSettings{}};
   /// When any backend server last answered; zero: never.
   TimePoint last_answer_at{};
   /// Budgets of log lines on attempts and refusals. They are separate so that
--- a/src/comfreyvane/gateway/gateway_dispatcher.cc
+++ b/src/comfreyvane/gateway/gateway_dispatcher.cc
@@ -26,11 +26,7 @@
     const TimePoint expiry = WaitDeadline(
         {request.started, request.route->objective,
          context_.backends.ExpectedWarm(request.pick), request.deadline});
-    const Duration wait =
-        std::max({queue_.ExpectedWait(service, request.urgency),
-                  LimitWaitOf(request.pick, now),
-                  context_.backends.TimeUntilWanted(request.pick, now)});
-    if (wait > expiry - now)
+    if (ExpectedWait(request, now) > expiry - now)
       co_return QueueRefusal(request, now);
     const auto waiter = std::make_shared<GatewayWaiter>(io_, request.pick);
     queue_.Push(service, request.urgency, waiter, expiry);
@@ -145,6 +141,13 @@
   return choice;
 }
 
+Duration GatewayDispatcher::ExpectedWait(const GatewayRequest& request,
+                                         TimePoint now) const {
+  return std::max({queue_.ExpectedWait(request.pick.service, request.urgency),
+                   LimitWaitOf(request.pick, now),
+                   context_.backends.TimeUntilWanted(request.pick, now)});
+}
+
 Duration GatewayDispatcher::LimitWaitOf(const PickRequest& request,
                                         TimePoint now) const {
   const auto room = context_.backends.RoomUnderLimits(request, now);
--- a/src/comfreyvane/gateway/gateway_dispatcher.h
+++ b/src/comfreyvane/gateway/gateway_dispatcher.h
@@ -58,6 +58,10 @@
 
   [[nodiscard]] std::size_t queued() const { return queue_.depth(); }
 
+  /// @return how long a request would wait for a backend server.
+  [[nodiscard]] Duration ExpectedWait(const GatewayRequest& request,
+                                      TimePoint now) const;
+
  private:
   /// @return a grant or a refusal that needs no wait.
   [[nodiscard]] std::optional<Grant> GrantNow(const GatewayRequest& request,
--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -36,6 +36,9 @@
 constexpr double kTokenWaitFraction = 0.12;
 constexpr Duration kTokenPollInterval = std::chrono::milliseconds(8);
 
+/// Multiple of the expected time after which nearly all requests have ended.
+constexpr double kSlowRequestFactor = 3.0;
+
 /// Retry-After of refusals without an estimate of the wait.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(200);
 
@@ -223,6 +226,39 @@
   co_return false;
 }
 
+std::optional<Refusal> GatewayHandler::LeavingRefusal(
+    const GatewayRequest& request,
+    Duration wait,
+    TimePoint now) const {
+  if (!context_.leaving)
+    return std::nullopt;
+  const Duration work =
+      Scaled(context_.backends.ExpectedWarm(request.pick), kSlowRequestFactor);
+  // The wait is unbounded if none can be foreseen.
+  const Duration bounded_wait = std::min(wait, context_.settings.grace);
+  return context_.stop.RefusalFor({request.received, now + bounded_wait + work,
+                                   BackendClient::AnswerDeadline(request)},
+                                  now);
+}
+
+void GatewayHandler::RefuseHopeless(TimePoint now) {
+  for (GatewayRequest* const request : open_) {
+    if (!request->is_waiting || !request->cancel ||
+        !LeavingRefusal(*request, Duration::zero(), now))
+      continue;
+    request->is_given_up = true;
+    request->cancel();
+  }
+}
+
+void GatewayHandler::GiveUp() {
+  for (GatewayRequest* const request : open_) {
+    request->is_given_up = true;
+    if (request->cancel)
+      request->cancel();
+  }
+}
+
 bool GatewayHandler::ReserveBodyBytes(std::size_t bytes) {
   const std::size_t max_bytes = std::size_t{context_.settings.memory_mb} *
                                 kBytesPerMegabyte / kBodyMemoryDivisor;
@@ -244,7 +280,8 @@
     return false;
   const Duration needed = Scaled(context_.backends.ExpectedWarm(request.pick),
                                  kMinRemainingTimeFraction);
-  if (now + needed > request.deadline)
+  if (now + needed > request.deadline ||
+      LeavingRefusal(request, Duration::zero(), now))
     return false;
   if (!context_.poison.MayRun(request.fingerprint, now))
     return false;
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -52,6 +53,12 @@
   template <typename Exchange>
   [[nodiscard]] asio::awaitable<bool> HandleCarried(Exchange& exchange);
 
+  /// Refuses waiting requests that could not end before this host stops.
+  void RefuseHopeless(TimePoint now);
+  /// Answers all requests that still run or wait, as this host is about to
+  /// exit. Answers that are being written go on.
+  void GiveUp();
+
   /// Refuses a request whose head could not be read or is not acceptable.
   template <typename Exchange>
   [[nodiscard]] asio::awaitable<void> Refuse(Exchange& exchange,
@@ -68,18 +75,30 @@
     std::optional<HostId> carrier{};
   };
 
-  /// @return a function that calls another if the caller closes.
+  /// @return a function that calls another if the caller closes or the request
+  ///     is given up.
   template <typename Exchange>
-  [[nodiscard]] static auto WatchOf(Exchange& exchange) {
-    return [&exchange](std::function<void()> on_closed) {
-      exchange.WatchForClose(std::move(on_closed));
+  [[nodiscard]] static auto WatchOf(Exchange& exchange,
+                                    GatewayRequest& request) {
+    return [&exchange, &request](std::function<void()> cancel) {
+      request.cancel = cancel;
+      exchange.WatchForClose(std::move(cancel));
     };
   }
   /// @return a function that ends the watch.
   template <typename Exchange>
-  [[nodiscard]] static auto UnwatchOf(Exchange& exchange) {
-    return [&exchange] { exchange.StopWatching(); };
+  [[nodiscard]] static auto UnwatchOf(Exchange& exchange,
+                                      GatewayRequest& request) {
+    return [&exchange, &request] {
+      request.cancel = nullptr;
+      exchange.StopWatching();
+    };
   }
+  /// Waits for a server or a carrier. A request that could not end before this
+  /// host stops gets none.
+  template <typename Exchange>
+  asio::awaitable<GatewayDispatcher::Grant> Acquire(Exchange& exchange,
+                                                    GatewayRequest& request);
 
   /// Serves a request and writes the answer or the refusal.
   template <typename Exchange>
@@ -151,6 +170,18 @@
   /// @return false if request bodies would take more than their share of
   /// memory.
   [[nodiscard]] bool ReserveBodyBytes(std::size_t bytes);
+  /// @param wait time until the request is sent to a server.
+  /// @return the refusal if it could not end before this host stops.
+  [[nodiscard]] std::optional<Refusal> LeavingRefusal(
+      const GatewayRequest& request,
+      Duration wait,
+      TimePoint now) const;
+  /// @return why a request was cancelled.
+  [[nodiscard]] static RefusalReason CancelReason(
+      const GatewayRequest& request) {
+    return request.is_given_up ? RefusalReason::kHostLeaving
+                               : RefusalReason::kCallerGone;
+  }
   /// Decides whether to try another server. If so, counts the retry and spends
   /// the retry budget.
   [[nodiscard]] bool TryBeginRetry(const GatewayRequest& request,
@@ -207,6 +238,7 @@
   BackendClient& backend_client_;
   PeerLink& peers_;
   CarriedGuard carried_guard_;
+  std::set<GatewayRequest*> open_;  ///< Requests that are not answered yet.
 };
 
 template <typename Exchange>
@@ -226,7 +258,9 @@
 asio::awaitable<bool> GatewayHandler::Respond(Exchange& exchange,
                                               GatewayRequest& request) {
   ++context_.running_requests;
+  open_.insert(&request);
   const auto refusal = co_await Serve(exchange, request);
+  open_.erase(&request);
   context_.buffered_body_bytes -= request.body.size();
   bool keep_alive = exchange.keep_alive() && exchange.body_done();
   if (refusal) {
@@ -273,6 +307,7 @@
     co_return refused;
   SetFingerprint(exchange.head(), request);
   const TimePoint now = MonotonicNow();
+  request.received = now;
   if (!context_.poison.MayRun(request.fingerprint, now)) {
     co_return Refusal{RefusalReason::kCrashContained, RunState::kNotRun,
                       Duration::zero()};
@@ -295,9 +330,12 @@
     GatewayRequest& request) {
   const bool expects_continue =
       exchange.head().count(boost::beast::http::field::expect) > 0;
-  if (!exchange.body_done() && expects_continue) {
+  if (exchange.body_done())
+    co_return std::nullopt;
+  request.cancel = [&exchange] { exchange.CancelAll(); };
+  if (expects_continue) {
     if (co_await exchange.WriteContinue() != ExchangeFailure::kNone)
-      co_return Refusal{RefusalReason::kCallerGone, RunState::kNotRun, {}};
+      co_return Refusal{CancelReason(request), RunState::kNotRun, {}};
   }
   while (!exchange.body_done()) {
     const std::size_t held = request.body.size();
@@ -310,6 +348,8 @@
         co_await exchange.ReadBody(std::span(request.body).subspan(held));
     request.body.resize(held + chunk.size);
     context_.buffered_body_bytes -= kChunkBytes - chunk.size;
+    if (chunk.failure != ExchangeFailure::kNone && request.is_given_up)
+      co_return Refusal{RefusalReason::kHostLeaving, RunState::kNotRun, {}};
     if (chunk.failure == ExchangeFailure::kTooLarge)
       co_return Refusal{RefusalReason::kBodyTooLarge, RunState::kNotRun, {}};
     if (chunk.failure == ExchangeFailure::kTimeout)
@@ -320,6 +360,7 @@
     if (chunk.failure != ExchangeFailure::kNone)
       co_return Refusal{RefusalReason::kCallerGone, RunState::kNotRun, {}};
   }
+  request.cancel = nullptr;
   co_return std::nullopt;
 }
 
@@ -350,12 +391,10 @@
 asio::awaitable<std::optional<Refusal>> GatewayHandler::RunAttempts(
     Exchange& exchange,
     GatewayRequest& request) {
-  const auto watch = WatchOf(exchange);
-  const auto unwatch = UnwatchOf(exchange);
   std::uint32_t connect_failures = 0;
   RunState run_state = RunState::kNotRun;
   while (true) {
-    const auto grant = co_await dispatcher_.Acquire(request, watch, unwatch);
+    const auto grant = co_await Acquire(exchange, request);
     if (const auto* refusal = std::get_if<Refusal>(&grant)) {
       co_return Refusal{refusal->reason, run_state, refusal->retry_after};
     }
@@ -368,8 +407,11 @@
     }
     CallResult& result = end.result;
     const TimePoint ended = MonotonicNow();
-    if (result.caller_gone)
-      co_return Refusal{RefusalReason::kCallerGone, result.run_state, {}};
+    if (result.caller_gone) {
+      if (result.run_state != RunState::kNotRun)
+        run_state = RunState::kUnknown;
+      co_return Refusal{CancelReason(request), run_state, {}};
+    }
     if (result.outcome == RequestOutcome::kConnectFailed)
       ++connect_failures;
     else
@@ -398,18 +440,50 @@
   }
 }
 
+template <typename Exchange>
+asio::awaitable<GatewayDispatcher::Grant> GatewayHandler::Acquire(
+    Exchange& exchange,
+    GatewayRequest& request) {
+  if (context_.leaving) {
+    const TimePoint begun = MonotonicNow();
+    if (const auto refusal = LeavingRefusal(
+            request, dispatcher_.ExpectedWait(request, begun), begun))
+      co_return *refusal;
+  }
+  request.is_waiting = true;
+  auto grant = co_await dispatcher_.Acquire(request, WatchOf(exchange, request),
+                                            UnwatchOf(exchange, request));
+  request.is_waiting = false;
+  if (auto* const refusal = std::get_if<Refusal>(&grant)) {
+    if (refusal->reason == RefusalReason::kCallerGone)
+      refusal->reason = CancelReason(request);
+    co_return grant;
+  }
+  const TimePoint now = MonotonicNow();
+  const auto refusal = LeavingRefusal(request, Duration::zero(), now);
+  if (!refusal)
+    co_return grant;
+  if (const auto* const choice = std::get_if<BackendChoice>(&grant)) {
+    dispatcher_.Release(request, *choice, RequestOutcome::kCancelled,
+                        Duration::zero(), 0, now);
+  }
+  co_return *refusal;
+}
+
 template <typename Exchange>
 asio::awaitable<GatewayHandler::AttemptEnd> GatewayHandler::RunAtServer(
     Exchange& exchange,
     GatewayRequest& request,
     const BackendChoice& choice) {
-  const auto watch = WatchOf(exchange);
-  const auto unwatch = UnwatchOf(exchange);
+  const auto watch = WatchOf(exchange, request);
+  const auto unwatch = UnwatchOf(exchange, request);
   const TimePoint begun = MonotonicNow();
   AttemptEnd end;
   end.server = choice.server;
   end.result = co_await backend_client_.Call(request, exchange.head(),
                                              choice.server, watch, unwatch);
+  if (end.result.caller_gone)
+    end.result.reason = CancelReason(request);
   const TimePoint ended = MonotonicNow();
   RecordAttempt(request, choice, end.result, ended - begun, ended);
   dispatcher_.Release(request, choice, end.result.outcome, ended - begun,
@@ -422,8 +496,8 @@
     Exchange& exchange,
     GatewayRequest& request,
     const Carrier& carrier) {
-  const auto watch = WatchOf(exchange);
-  const auto unwatch = UnwatchOf(exchange);
+  const auto watch = WatchOf(exchange, request);
+  const auto unwatch = UnwatchOf(exchange, request);
   const TimePoint begun = MonotonicNow();
   const HostId host = carrier.host.id();
   context_.carriers.OnStarted(host);
--- a/src/comfreyvane/gateway/gateway_process.h
+++ b/src/comfreyvane/gateway/gateway_process.h
@@ -28,6 +28,7 @@
 #include "comfreyvane/gateway/peer_handler.h"
 #include "comfreyvane/gateway/peer_link.h"
 #include "comfreyvane/gateway/relay_handler.h"
+#include "comfreyvane/gateway/stop_driver.h"
 #include "comfreyvane/gateway/store_follower.h"
 #include "comfreyvane/log/bounded_output.h"
 #include "comfreyvane/net/caller_listener.h"
@@ -106,7 +107,8 @@
                        nullptr,
                        sweeper_,
                        HttpLimits{},
-                       peer_handler_) {
+                       peer_handler_),
+        stop_driver_(context_, io_, StopHooks()) {
     if (settings.metrics.port != 0) {
       metrics_listener_.emplace(io_, EndpointOf(settings.metrics),
                                 PortSharing::kExclusive, nullptr, sweeper_,
@@ -118,7 +120,7 @@
 
   /// Starts a graceful shutdown, as SIGTERM does. Thread-safe.
   void Stop() {
-    asio::post(io_, [this] { BeginStop(MonotonicNow()); });
+    asio::post(io_, [this] { stop_driver_.Begin(MonotonicNow()); });
   }
 
   /// Serves until a graceful shutdown has finished.
@@ -145,17 +147,11 @@
   static constexpr Duration kSlowTickInterval = std::chrono::milliseconds(500);
   /// Interval of checks whether the settings file has changed.
   static constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
-  /// Time after the start of a shutdown during which connections are still
-  /// accepted. Covers the TTL of look-up answers and the time of another
-  /// look-up, after which callers use other hosts.
-  static constexpr Duration kLameDuckPeriod = std::chrono::milliseconds(2500);
   /// Size of what a host adds to the head of a request that it sends to
   /// another.
   static constexpr std::size_t kMarkBytes = 2048;
   /// Gain of the moving average of the delay of periodic work.
   static constexpr double kDelayGain = 0.2;
-  /// Time within the grace period that is reserved for the exit of the process.
-  static constexpr Duration kShutdownMargin = std::chrono::milliseconds(300);
 
   [[nodiscard]] static tcp::endpoint EndpointOf(const Endpoint& endpoint) {
     return {asio::ip::make_address(endpoint.address), endpoint.port};
@@ -204,7 +200,7 @@
       if (signal == SIGHUP)
         Reload("signal");
       else
-        BeginStop(MonotonicNow());
+        stop_driver_.Begin(MonotonicNow());
       WaitForSignal();
     });
   }
@@ -231,8 +227,6 @@
       }
     }
     log_output_.Drain();
-    if (context_.leaving && TryFinishStop(now))
-      return;
     timer_.expires_after(kTickInterval);
     timer_.async_wait([this](const error_code& error) {
       if (!error)
@@ -302,39 +296,41 @@
         {{"cause", cause}, {"accepted", is_accepted}});
   }
 
-  void BeginStop(TimePoint now) {
-    if (context_.leaving)
-      return;
-    context_.leaving = true;
-    stop_began_ = now;
-    caller_listener_.BeginLeaving();
-    peer_listener_.BeginLeaving();
-    peers_.SendAll(now);
-    Log(LogLevel::kInfo, "stop-begun",
-        {{"running", context_.running_requests},
-         {"connections", caller_listener_.connections()}});
-  }
-
-  /// Stops accepting connections after the lame-duck period, and ends the event
-  /// loop once no request is running or the grace period is over.
-  /// @return whether the event loop has been stopped.
-  [[nodiscard]] bool TryFinishStop(TimePoint now) {
-    const Duration elapsed = now - stop_began_;
-    if (!stopped_accepting_ && elapsed >= kLameDuckPeriod) {
-      stopped_accepting_ = true;
+  [[nodiscard]] StopDriver::Hooks StopHooks() {
+    StopDriver::Hooks hooks;
+    hooks.announce = [this](TimePoint now) {
+      caller_listener_.BeginLeaving();
+      peer_listener_.BeginLeaving();
+      peers_.SendAll(now);
+    };
+    hooks.stop_accepting = [this] {
       caller_listener_.StopAccepting();
-    }
-    const bool is_idle = stopped_accepting_ && context_.running_requests == 0;
-    const bool is_overdue =
-        elapsed >= context_.settings.grace - kShutdownMargin;
-    if (!is_idle && !is_overdue)
-      return false;
-    Log(LogLevel::kInfo, "stopped",
-        {{"running", context_.running_requests}, {"after_ms", elapsed}});
-    log_output_.Drain();
-    store_follower_.Stop();
-    io_.stop();
-    return true;
+      peer_listener_.StopAccepting();
+    };
+    hooks.stop_look_ups = [this] {
+      look_up_listener_.StopAccepting();
+      readiness_listener_.StopAccepting();
+    };
+    hooks.refuse_hopeless = [this](TimePoint now) {
+      handler_.RefuseHopeless(now);
+    };
+    hooks.give_up = [this] {
+      handler_.GiveUp();
+      caller_listener_.GiveUpHeads();
+      peer_listener_.GiveUpHeads();
+    };
+    hooks.callers = [this] {
+      return caller_listener_.unfinished() + peer_listener_.unfinished();
+    };
+    hooks.look_ups = [this] {
+      return look_up_listener_.unfinished() + readiness_listener_.unfinished();
+    };
+    hooks.exit = [this] {
+      log_output_.Drain();
+      store_follower_.Stop();
+      io_.stop();
+    };
+    return hooks;
   }
 
   std::filesystem::path settings_file_;
@@ -361,11 +357,10 @@
   Relay relay_handler_;
   PeerHandler<Relay, GatewayHandler> peer_handler_;
   CallerListener<PeerHandler<Relay, GatewayHandler>> peer_listener_;
+  StopDriver stop_driver_;
   TimePoint last_tick_{};
   TimePoint next_slow_tick_{};
   TimePoint next_settings_check_{};
-  TimePoint stop_began_{};
-  bool stopped_accepting_ = false;
   std::filesystem::file_time_type settings_file_time_{};
 };
 
--- a/src/comfreyvane/gateway/gateway_request.h
+++ b/src/comfreyvane/gateway/gateway_request.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_GATEWAY_GATEWAY_REQUEST_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,11 @@
   std::optional<CarriedMark> carried{};
   std::string carried_code{};  ///< Authentication code of a carried request.
   std::vector<HostId> tried_carriers{};
+  TimePoint received{};  ///< When all of it had been read.
+  /// Ends what the request waits for; null if that ends soon in any case.
+  std::function<void()> cancel{};
+  bool is_waiting = false;   ///< For a backend server.
+  bool is_given_up = false;  ///< This host stops before it could end.
 
   [[nodiscard]] WorkspaceId workspace_id() const {
     return workspace == nullptr ? WorkspaceId()
--- a/src/comfreyvane/host/host_process.cc
+++ b/src/comfreyvane/host/host_process.cc
@@ -111,7 +111,7 @@
         worker->StopAccepting();
     } else if (std::holds_alternative<comfreyvane::ReturnLeases>(action)) {
       control_.ReturnLeases();
-    } else {
+    } else if (std::holds_alternative<comfreyvane::CloseAll>(action)) {
       for (const auto& worker : workers_)
         worker->Quit();
       control_.Quit();
