--- a/src/comfreyvane/gateway/fwd.h
+++ b/src/comfreyvane/gateway/fwd.h
@@ -33,6 +33,7 @@
 class PeerLink;
 class RelayAnswerCache;
 class RelayClient;
+class StopDriver;
 class TableMonitor;
 template <typename Relay, typename Requests>
 class PeerHandler;
