net, gateway: one strict framing for own answers and passed-on ones

A status such as 099 was passed on. 204 had Content-Length: 0, an answer to HEAD without a length got length 0, callers of HTTP/1.0 got chunks and 100 Continue, and a body with another coding than chunked lost the field that names it.

Cause: only ForwardAnswer looked at is_head; framing was set wherever an answer was made; the parser accepts each status of three digits.

Change: CallerExchange::WriteAnswer writes only the head of an answer to HEAD, for all handlers. IsAnswerHead checks status and coding of each answer, of servers and in HttpClient. SetFraming sets the fields of a server's answer in one place. A long answer without a length ends an HTTP/1.0 connection. The same cause elsewhere: HttpClient took an interim answer for a final one and kept a connection with bytes behind an answer, so that the next call would have read them.

--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -10,6 +10,7 @@
 #include "comfreyvane/gateway/limit_log.h"
 #include "comfreyvane/gateway/message_heads.h"
 #include "comfreyvane/log/log.h"
+#include "comfreyvane/net/answer_checks.h"
 #include "comfreyvane/net/peer_authenticator.h"
 
 namespace comfreyvane {
@@ -483,9 +484,25 @@
               Duration::zero()},
              answer);
   answer.body() = result.body;
-  answer.prepare_payload();
   answer.keep_alive(keep_alive);
   return answer;
 }
 
+void GatewayHandler::SetFraming(const GatewayRequest& request,
+                                const CallResult& result,
+                                Answer& answer) {
+  constexpr unsigned kNotModified = 304;
+  const unsigned status = answer.result_int();
+  if (HasNoBody(status))
+    return;
+  if (!request.is_head && status != kNotModified) {
+    answer.content_length(answer.body().size());
+    return;
+  }
+  // The length is that of a body which is not sent, and only the server's.
+  const auto length = result.head->find(http::field::content_length);
+  if (length != result.head->end())
+    answer.set(http::field::content_length, length->value());
+}
+
 }  // namespace comfreyvane
--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_GATEWAY_GATEWAY_HANDLER_H_
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
@@ -63,6 +64,7 @@
   /// Time for the body of a request that has no deadline, since its route is
   /// unknown.
   static constexpr Duration kMaxBodyTime = std::chrono::seconds(10);
+  static constexpr unsigned kHttp11 = 11;
 
   /// An attempt that has ended, at a server or through a carrier.
   struct AttemptEnd {
@@ -199,10 +201,15 @@
                                      const Refusal& refusal,
                                      unsigned version,
                                      bool keep_alive) const;
+  /// @return a server's answer without framing fields.
   [[nodiscard]] Answer AnswerOf(const GatewayRequest& request,
                                 const CallResult& result,
                                 unsigned version,
                                 bool keep_alive) const;
+  /// Sets the framing fields of a server's answer that has been read whole.
+  static void SetFraming(const GatewayRequest& request,
+                         const CallResult& result,
+                         Answer& answer);
 
   GatewayContext& context_;
   asio::io_context& io_;
@@ -256,7 +263,6 @@
   request.started = MonotonicNow();
   const Refusal refusal{reason, RunState::kNotRun, Duration::zero()};
   RecordRefusal(request, refusal, request.started);
-  constexpr unsigned kHttp11 = 11;
   Answer answer = RefusalAnswer(request, refusal, kHttp11, false);
   co_await exchange.WriteAnswer(answer);
 }
@@ -297,7 +303,9 @@
     Exchange& exchange,
     GatewayRequest& request) {
   const bool expects_continue =
-      exchange.head().count(boost::beast::http::field::expect) > 0;
+      exchange.head().version() >= kHttp11 &&
+      boost::beast::iequals(exchange.head()[boost::beast::http::field::expect],
+                            "100-continue");
   if (!exchange.body_done() && expects_continue) {
     if (co_await exchange.WriteContinue() != ExchangeFailure::kNone)
       co_return Refusal{RefusalReason::kCallerGone, RunState::kNotRun, {}};
@@ -475,9 +483,7 @@
   }
   Answer answer = AnswerOf(request, result, exchange.head().version(),
                            exchange.keep_alive());
-  if (request.is_head && result.head->count("Content-Length") > 0)
-    answer.set(boost::beast::http::field::content_length,
-               result.head->at("Content-Length"));
+  SetFraming(request, result, answer);
   Recycle(end, MonotonicNow());
   const ExchangeFailure failure = co_await exchange.WriteAnswer(answer);
   RecordAnswer(request, status, MonotonicNow());
@@ -491,13 +497,18 @@
     Exchange& exchange,
     const GatewayRequest& request,
     CallResult& result) {
-  Answer full_answer = AnswerOf(request, result, exchange.head().version(),
-                                exchange.keep_alive());
+  const unsigned version = exchange.head().version();
   const auto length = result.connection->answer().content_length();
+  const bool is_chunked = !length && version >= kHttp11;
+  // Readers of earlier versions know no chunks.
+  if (!length && !is_chunked)
+    exchange.EndAfterAnswer();
+  Answer full_answer =
+      AnswerOf(request, result, version, exchange.keep_alive());
   if (length)
     full_answer.content_length(*length);
   else
-    full_answer.chunked(true);
+    full_answer.chunked(is_chunked);
   StreamedMessage<false> message(std::move(full_answer.base()));
   std::string chunk_bytes = std::move(result.body);
   bool last = false;
--- a/src/comfreyvane/net/backend_connection.cc
+++ b/src/comfreyvane/net/backend_connection.cc
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <limits>
 
+#include "comfreyvane/net/answer_checks.h"
 #include "comfreyvane/net/liveness_options.h"
 #include "comfreyvane/net/message_reader.h"
 
@@ -75,8 +76,10 @@
     watchdog_.Disarm();
     if (error)
       co_return FailureOf(error);
-    // By number: the library has no name for some, such as 103.
-    if (parser_->get().result_int() / 100 != 1)
+    const auto& head = parser_->get().base();
+    if (!IsAnswerHead(head))
+      co_return ExchangeFailure::kMalformed;
+    if (!IsInterim(head))
       break;
   }
   // A body that only the close ends cannot be told from one that a server cut
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -113,6 +113,10 @@
   /// the same for the whole of a request, so that the answer says what happens.
   [[nodiscard]] bool keep_alive() const { return keep_alive_; }
 
+  /// Makes this request the last of its connection. Before an answer that only
+  /// the close ends.
+  void EndAfterAnswer() { keep_alive_ = false; }
+
   /// @param leaving once true, each request is the last of its connection;
   /// must outlive the exchange.
   void FollowLeaving(const bool& leaving) { leaving_ = &leaving; }
@@ -145,13 +149,24 @@
     co_return FailureOf(error);
   }
 
-  /// Writes a whole answer of the host's own.
+  /// Writes a whole answer; of one to a HEAD request, only the head.
+  /// @param answer with its framing fields set.
   [[nodiscard]] asio::awaitable<ExchangeFailure> WriteAnswer(Answer& answer) {
+    namespace http = boost::beast::http;
     watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
-    const auto [error, size] =
-        co_await boost::beast::http::async_write(watched_, answer, kAwait);
+    error_code result;
+    if (is_to_head()) {
+      http::response_serializer<http::string_body> serializer(answer);
+      const auto [error, size] =
+          co_await http::async_write_header(watched_, serializer, kAwait);
+      result = error;
+    } else {
+      const auto [error, size] =
+          co_await http::async_write(watched_, answer, kAwait);
+      result = error;
+    }
     watchdog_.Disarm();
-    co_return FailureOf(error);
+    co_return FailureOf(result);
   }
 
   /// Writes a part of a backend server's answer.
@@ -240,6 +255,13 @@
     return {static_cast<const char*>(data.data()), data.size()};
   }
 
+  /// @return whether the request is a HEAD, as far as it can be read.
+  [[nodiscard]] bool is_to_head() const {
+    if (parser_ && parser_->is_header_done())
+      return head().method() == boost::beast::http::verb::head;
+    return Received().starts_with("HEAD ");
+  }
+
   [[nodiscard]] asio::awaitable<bool> ReadMore() {
     const bool first = buffer_.size() == 0;
     const std::size_t room =
--- a/src/comfreyvane/net/http_client.cc
+++ b/src/comfreyvane/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "comfreyvane/net/answer_checks.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/net/liveness_options.h"
 #include "comfreyvane/net/timeout_sweeper.h"
@@ -116,7 +117,12 @@
   if (read_error)
     co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
   connection->watchdog.Disarm();
-  if (parser.get().keep_alive() && idle_.size() < kIdleConnections)
+  const auto& head = parser.get().base();
+  if (!IsAnswerHead(head) || IsInterim(head))
+    co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
+  // Bytes behind an answer belong to no call.
+  if (parser.get().keep_alive() && connection->buffer.size() == 0 &&
+      idle_.size() < kIdleConnections)
     idle_.push_back(std::move(connection));
   HttpCallResult result{HttpCallStatus::kAnswered, parser.get().result_int(),
                         std::move(parser.get().body())};
