edge: a server that reported draining is forgotten once its entry is gone

Each release left servers that every choice walked over. Cause: Prune kept what had reported draining, listed or not. Change: Prune looks only at whether the entry is gone and nothing runs. Evidence: backend_picker a_server_that_reported_draining_is_never_forgotten failed on ("picker.Find(entry.id()) == nullptr is false").

--- a/src/comfreyvane/edge/backend_picker.cc
+++ b/src/comfreyvane/edge/backend_picker.cc
@@ -89,8 +89,7 @@
     const BackendState& state = it->second->state;
     // Servers that leave are kept while the registry lists them, so that they
     // are not taken for new servers.
-    const bool is_unlisted = state.is_removed() && !state.entry().draining;
-    if (is_unlisted && state.own_running() == 0) {
+    if (state.is_removed() && state.own_running() == 0) {
       unreachable_ -= it->second->reach == ServerReach::kDirect ? 0 : 1;
       std::erase(by_service_[state.entry().service], it->second.get());
       it = states_.erase(it);
--- a/tests/comfreyvane/edge/backend_picker_test.cc
+++ b/tests/comfreyvane/edge/backend_picker_test.cc
@@ -356,6 +356,18 @@
   cr_expect(picker.LeavingReports(kStart + seconds(4)).size() == 1);
 }
 
+Test(backend_picker, a_server_that_reported_draining_is_never_forgotten) {
+  BackendPicker picker = PickerInWest();
+  BackendEntry entry = EntryOf("a", "west-a");
+  entry.draining = true;
+  picker.Upsert(entry, kStart);
+  picker.Prune(kStart);
+  cr_expect(picker.Find(entry.id()) != nullptr, "listed");
+  picker.Remove(entry.id(), kStart + seconds(1));
+  picker.Prune(kStart + seconds(1));
+  cr_expect(picker.Find(entry.id()) == nullptr);
+}
+
 Test(backend_picker, a_report_on_an_earlier_incarnation_changes_nothing) {
   BackendPicker picker = PickerInWest();
   BackendEntry entry = EntryOf("a", "west-a");
