apps: a log reader that goes away does not end the process

Cause: SIGPIPE had its default action; BoundedOutput itself handles a failed write. Change: both programs ignore it. Sockets send without the signal anyway.

--- a/apps/comfreyvane_main.cc
+++ b/apps/comfreyvane_main.cc
@@ -84,6 +84,8 @@
     std::cerr << "--settings is missing\n" << described;
     return kBadUsage;
   }
+  // The reader of the log may go away.
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     return LoadAndServe(given["settings"].as<std::string>(),
                         given.count("check") > 0);
--- a/apps/gateway_main.cc
+++ b/apps/gateway_main.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -91,6 +92,8 @@
     std::cerr << "--settings is missing\n" << described;
     return kBadUsage;
   }
+  // The reader of the log may go away.
+  std::signal(SIGPIPE, SIG_IGN);
   try {
     return LoadAndServe(path, given.count("check") > 0);
   } catch (const std::exception& error) {
