net: a failed accept is followed by a pause and a log line

Without descriptors the accept failed and was repeated at once, without a line. Cause: Accept passed over the error. Change: 50 ms pause, and accept-failed with the reason.

--- a/src/comfreyvane/net/caller_listener.h
+++ b/src/comfreyvane/net/caller_listener.h
@@ -8,11 +8,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <tuple>
 #include <utility>
 
+#include "comfreyvane/log/log.h"
 #include "comfreyvane/net/async.h"
 #include "comfreyvane/net/caller_exchange.h"
 #include "comfreyvane/net/http_limits.h"
@@ -92,10 +95,25 @@
   [[nodiscard]] std::size_t connections() const { return connections_; }
 
  private:
+  /// Time after a failed accept, such as one for lack of descriptors.
+  static constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
   asio::awaitable<void> Accept() {
+    asio::steady_timer pause(io_);
     while (!stopped_) {
       auto accepted = co_await acceptor_.async_accept(kAwait);
+      const error_code& error = std::get<0>(accepted);
       Serve(std::move(std::get<tcp::socket>(accepted)));
+      if (!error || stopped_)
+        continue;
+      // The connection stays in the queue, so that the next accept would fail
+      // at once too.
+      Log(LogLevel::kWarning, "accept-failed",
+          {{"error", error.message()},
+           {"connections", connections_},
+           {"pause_ms", kAcceptPause}});
+      pause.expires_after(kAcceptPause);
+      static_cast<void>(co_await pause.async_wait(kAwait));
     }
   }
 
--- a/tests/comfreyvane/net/caller_listener_test.cc
+++ b/tests/comfreyvane/net/caller_listener_test.cc
@@ -1,5 +1,9 @@
 #include "comfreyvane/net/caller_listener.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <optional>
 #include <string>
 #include <vector>
@@ -219,6 +223,30 @@
   cr_expect(client.ReceiveUntil("received 5").ends_with("received 5"));
 }
 
+Test(caller_listener, a_failed_accept_is_repeated_without_a_pause) {
+  asio::io_context io(1);
+  TimeoutSweeper sweeper(io);
+  testing::CountingHandler handler;
+  CallerListener<testing::CountingHandler> listener(
+      io, {asio::ip::address_v4::loopback(), 0}, PortSharing::kExclusive,
+      nullptr, sweeper, SmallLimits(), handler);
+  listener.Start();
+  const RawClient client(listener.local_endpoint());
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int next_descriptor = dup(STDERR_FILENO);
+  close(next_descriptor);
+  rlimit none_left = before;
+  none_left.rlim_cur = static_cast<rlim_t>(next_descriptor);
+  setrlimit(RLIMIT_NOFILE, &none_left);
+  const std::size_t handled = io.run_for(std::chrono::milliseconds(300));
+  setrlimit(RLIMIT_NOFILE, &before);
+  cr_expect(listener.connections() == 0);
+  cr_expect(handled < 100, "%zu handlers", handled);
+  io.run_for(std::chrono::milliseconds(300));
+  cr_expect(listener.connections() == 1);
+}
+
 Test(caller_listener, refuses_a_slow_sender) {
   HttpLimits limits = SmallLimits();
   limits.header_timeout = std::chrono::milliseconds(1);
