gateway: a heartbeat that does not fit loses rows, not all of it

With some 340 records of crashes a host sent no heartbeat at all, so that the others took it for gone. Cause: SendTo dropped datagrams above 8 KiB; only limits and leaving servers were bounded. Change: CutToFit shortens the longest lists and keeps what matters most; the line heartbeat-cut. The same cause elsewhere: use of servers and requests for tokens of many workspaces. Evidence: peer_link no_heartbeat_is_sent_with_many_records_of_crashes failed on ("!datagram.empty() is false").

--- a/src/comfreyvane/gateway/peer_link.cc
+++ b/src/comfreyvane/gateway/peer_link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "comfreyvane/gateway/fleet_codec.h"
+#include "comfreyvane/gateway/heartbeat_bound.h"
 #include "comfreyvane/gateway/limit_log.h"
 #include "comfreyvane/log/log.h"
 #include "comfreyvane/net/clock.h"
@@ -152,7 +153,7 @@
   Heartbeat answer = Compose(now);
   answer.paths = context_.paths.ReportsOn(heartbeat.asked_paths, now);
   answer.loop_delay = context_.loop_delay;
-  SendTo(*sender, DatagramOf(answer));
+  SendTo(*sender, DatagramOf(std::move(answer), now));
 }
 
 void PeerLink::AskForPaths(TimePoint now) {
@@ -164,7 +165,7 @@
   next_path_question_ = now + kPathQuestionPeriod;
   Heartbeat question = Compose(now);
   question.asked_paths = groups;
-  const std::string datagram = DatagramOf(question);
+  const std::string datagram = DatagramOf(std::move(question), now);
   for (const FleetHost& host : context_.carriers.HostsToAsk(
            context_.fleet.Serving(context_.leaving, now)))
     SendTo(host, datagram);
@@ -211,7 +212,7 @@
   for (auto& [id, row] : by_reporter) {
     Heartbeat heartbeat = Compose(now);
     heartbeat.limits = std::move(row.second.limits);
-    SendTo(row.first, DatagramOf(heartbeat));
+    SendTo(row.first, DatagramOf(std::move(heartbeat), now));
   }
 }
 
@@ -229,7 +230,7 @@
     limits.resize(kMaxLimitsPerDatagram);
   }
   heartbeat.limits = std::move(limits);
-  return DatagramOf(heartbeat);
+  return DatagramOf(std::move(heartbeat), now);
 }
 
 void PeerLink::ReceiveTokens(const Heartbeat& heartbeat, TimePoint now) {
@@ -292,7 +293,7 @@
     return;
   Heartbeat heartbeat = Compose(now);
   heartbeat.granted_tokens = tokens;
-  SendTo(*receiver, DatagramOf(heartbeat));
+  SendTo(*receiver, DatagramOf(std::move(heartbeat), now));
 }
 
 void PeerLink::ReturnSpareTokens(TimePoint now) {
@@ -333,13 +334,13 @@
 void PeerLink::RequestFromPool(WorkspaceId workspace, TimePoint now) {
   Heartbeat heartbeat = Compose(now);
   heartbeat.requested_tokens.push_back({workspace, kTokensPerPoolRequest});
-  SendTo(context_.fleet.LimitPool(now), DatagramOf(heartbeat));
+  SendTo(context_.fleet.LimitPool(now), DatagramOf(std::move(heartbeat), now));
 }
 
 void PeerLink::RequestFromOtherPools(WorkspaceId workspace, TimePoint now) {
   Heartbeat heartbeat = Compose(now);
   heartbeat.requested_tokens.push_back({workspace, kTokensPerCrossPoolRequest});
-  const std::string datagram = DatagramOf(heartbeat);
+  const std::string datagram = DatagramOf(std::move(heartbeat), now);
   const std::vector<FleetHost> pools = context_.fleet.OtherLimitPools(now);
   std::size_t other_region_pools = 0;
   for (std::size_t i = 0; i < pools.size(); ++i) {
@@ -377,7 +378,7 @@
   Heartbeat heartbeat = Compose(now);
   heartbeat.use = context_.backends.LocalUse();
   heartbeat.requested_tokens = PendingTokenRequests(now);
-  const std::string datagram = DatagramOf(heartbeat);
+  const std::string datagram = DatagramOf(std::move(heartbeat), now);
   const std::string notices = NoticesDatagram(now);
   for (const FleetHost& host : context_.fleet.Peers()) {
     if (!context_.fleet.IsInOwnRegion(host))
@@ -411,7 +412,7 @@
               ? context_.backends.LocalUse()
               : context_.backends.LocalUseIn(RegionId::Of(host.region));
       heartbeat.requested_tokens = PendingTokenRequests(now);
-      datagram->second = DatagramOf(heartbeat);
+      datagram->second = DatagramOf(std::move(heartbeat), now);
     }
     // Receivers drop datagrams that were composed before the last received.
     if (!notices.empty())
@@ -440,8 +441,17 @@
   return heartbeat;
 }
 
-std::string PeerLink::DatagramOf(const Heartbeat& heartbeat) const {
-  const std::string text = EncodeHeartbeat(heartbeat);
+std::string PeerLink::DatagramOf(Heartbeat heartbeat, TimePoint now) {
+  std::string text = EncodeHeartbeat(heartbeat);
+  if (text.size() > kMaxTextBytes) {
+    const std::size_t whole = text.size();
+    const std::size_t cut = CutToFit(heartbeat, kMaxTextBytes);
+    text = EncodeHeartbeat(heartbeat);
+    if (cut_lines_.TryTake(now)) {
+      Log(LogLevel::kWarning, "heartbeat-cut",
+          {{"rows", cut}, {"whole_bytes", whole}, {"bytes", text.size()}});
+    }
+  }
   const PeerAuthenticator authenticator(state_.fleet_secret());
   return authenticator.Sign("", text) + '\n' + text;
 }
--- a/src/comfreyvane/gateway/peer_link.h
+++ b/src/comfreyvane/gateway/peer_link.h
@@ -17,6 +17,7 @@
 #include "comfreyvane/gateway/gateway_context.h"
 #include "comfreyvane/gateway/gateway_state.h"
 #include "comfreyvane/gateway/heartbeat.h"
+#include "comfreyvane/log/line_budget.h"
 #include "comfreyvane/net/async.h"
 
 namespace comfreyvane {
@@ -59,6 +60,8 @@
   using Udp = asio::ip::udp;
 
   static constexpr std::size_t kMaxDatagramBytes = 8 * 1024;
+  /// The rest is for the authentication code.
+  static constexpr std::size_t kMaxTextBytes = kMaxDatagramBytes - 128;
 
   struct Peer {
     std::uint64_t incarnation = 0;
@@ -102,7 +105,8 @@
       TimePoint now) const;
   /// @return a heartbeat without the use of servers and without tokens.
   [[nodiscard]] Heartbeat Compose(TimePoint now);
-  [[nodiscard]] std::string DatagramOf(const Heartbeat& heartbeat) const;
+  /// @return a datagram of the heartbeat, or of what fits into one.
+  [[nodiscard]] std::string DatagramOf(Heartbeat heartbeat, TimePoint now);
   void SendTo(const FleetHost& host, const std::string& datagram);
   /// Asks other hosts what they reach, if this host doubts its own path.
   void AskForPaths(TimePoint now);
@@ -134,6 +138,7 @@
 
   std::map<WorkspaceId, TokenRequest> token_requests_;
   TokenWaiters waiters_;
+  LineBudget cut_lines_{1.0};
 };
 
 }  // namespace comfreyvane
