gateway: a caller's close is seen behind pipelined bytes and long answers

Servers worked on for callers that had closed behind more pipelined bytes than are read ahead, or during a long answer. Cause: TakeReadAhead stopped watching once its buffer was full, and StreamAnswer did not watch. A close that does not fit into the full receive buffer of the socket is still not seen.

--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -516,8 +516,10 @@
       co_await exchange.WritePart(message, chunk_bytes, false);
   while (failure == ExchangeFailure::kNone && !last) {
     chunk_bytes.resize(kChunkBytes);
+    exchange.WatchForClose([&result] { result.connection->Cancel(); });
     const BodyChunk chunk = co_await result.connection->ReadBody(
         chunk_bytes, BackendClient::AnswerDeadline(request));
+    exchange.StopWatching();
     failure = chunk.failure;
     last = chunk.last;
     if (failure == ExchangeFailure::kNone) {
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -3,11 +3,13 @@
 #ifndef COMFREYVANE_NET_CALLER_EXCHANGE_H_
 #define COMFREYVANE_NET_CALLER_EXCHANGE_H_
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -48,7 +50,8 @@
         limits_(limits),
         buffer_(limits.header_bytes + kReadBytes),
         watchdog_(sweeper, [this] { CancelAll(); }),
-        watched_(stream_, watchdog_) {}
+        watched_(stream_, watchdog_),
+        close_timer_(stream_.get_executor()) {}
   CallerExchange(const CallerExchange&) = delete;
   CallerExchange& operator=(const CallerExchange&) = delete;
 
@@ -190,6 +193,7 @@
   }
   void StopWatching() {
     ++watch_;
+    close_timer_.cancel();
     error_code ignored;
     socket().cancel(ignored);
   }
@@ -247,6 +251,7 @@
  private:
   static constexpr std::string_view kHeadEnd = "\r\n\r\n";
   static constexpr std::size_t kReadBytes = 4096;
+  static constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(50);
   static constexpr std::size_t kLingerBytes = 256 * 1024;
   static constexpr Duration kLingerTime = std::chrono::milliseconds(500);
 
@@ -316,9 +321,32 @@
             on_closed();
           else if (ahead == ReadAhead::kTaken)
             AwaitReadable(watch, std::move(on_closed));
+          else
+            AwaitClose(watch, std::move(on_closed));
         });
   }
 
+  /// Looks regularly for a close behind bytes that are left on the socket.
+  void AwaitClose(int watch, std::function<void()> on_closed) {
+    close_timer_.expires_after(kCloseCheckInterval);
+    close_timer_.async_wait(
+        [this, watch, alive = std::weak_ptr<int>(alive_),
+         on_closed = std::move(on_closed)](const error_code& error) mutable {
+          if (error || alive.expired() || watch != watch_)
+            return;
+          if (HasCallerEnded())
+            on_closed();
+          else
+            AwaitClose(watch, std::move(on_closed));
+        });
+  }
+
+  /// @return whether the caller sends nothing more, even if bytes are unread.
+  [[nodiscard]] bool HasCallerEnded() {
+    pollfd state{socket().native_handle(), POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0;
+  }
+
   enum class ReadAhead { kClosed, kTaken, kLeft };
 
   /// Takes bytes of later requests off the socket, since a close behind unread
@@ -356,6 +384,7 @@
   std::optional<Parser> parser_;
   Watchdog watchdog_;
   WatchedStream<Stream> watched_;
+  asio::steady_timer close_timer_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   int watch_ = 0;
   bool keep_alive_ = false;
