--- a/src/comfreyvane/gateway/gateway_handler.h
+++ b/src/comfreyvane/gateway/gateway_handler.h
@@ -4,6 +4,7 @@
 #define COMFREYVANE_GATEWAY_GATEWAY_HANDLER_H_
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
@@ -67,6 +68,10 @@
  private:
   /// Bytes of a body that are read at a time.
   static constexpr std::size_t kChunkBytes = 16 * 1024;
+  /// Time for the body of a request that has no deadline, since its route is
+  /// unknown.
+  static constexpr Duration kMaxBodyTime = std::chrono::seconds(10);
+  static constexpr unsigned kHttp11 = 11;
 
   /// An attempt that has ended, at a server or through a carrier.
   struct AttemptEnd {
@@ -247,10 +252,15 @@
                                      const Refusal& refusal,
                                      unsigned version,
                                      bool keep_alive) const;
+  /// @return a server's answer without framing fields.
   [[nodiscard]] Answer AnswerOf(const GatewayRequest& request,
                                 const CallResult& result,
                                 unsigned version,
                                 bool keep_alive) const;
+  /// Sets the framing fields of a server's answer that has been read whole.
+  static void SetFraming(const GatewayRequest& request,
+                         const CallResult& result,
+                         Answer& answer);
 
   GatewayContext& context_;
   asio::io_context& io_;
@@ -307,7 +317,6 @@
   request.started = MonotonicNow();
   const Refusal refusal{reason, RunState::kNotRun, Duration::zero()};
   RecordRefusal(request, refusal, request.started);
-  constexpr unsigned kHttp11 = 11;
   Answer answer = RefusalAnswer(request, refusal, kHttp11, false);
   co_await exchange.WriteAnswer(answer);
 }
@@ -353,7 +362,9 @@
     Exchange& exchange,
     GatewayRequest& request) {
   const bool expects_continue =
-      exchange.head().count(boost::beast::http::field::expect) > 0;
+      exchange.head().version() >= kHttp11 &&
+      boost::beast::iequals(exchange.head()[boost::beast::http::field::expect],
+                            "100-continue");
   if (exchange.body_done())
     co_return std::nullopt;
   request.cancel = [&exchange] { exchange.CancelAll(); };
@@ -361,6 +372,9 @@
     if (co_await exchange.WriteContinue() != ExchangeFailure::kNone)
       co_return Refusal{CancelReason(request), RunState::kNotRun, {}};
   }
+  const TimePoint deadline = request.route == nullptr
+                                 ? request.started + kMaxBodyTime
+                                 : request.deadline;
   while (!exchange.body_done()) {
     const std::size_t held = request.body.size();
     if (!ReserveBodyBytes(kChunkBytes)) {
@@ -368,8 +382,8 @@
                         std::chrono::seconds(1)};
     }
     request.body.resize(held + kChunkBytes);
-    const BodyChunk chunk =
-        co_await exchange.ReadBody(std::span(request.body).subspan(held));
+    const BodyChunk chunk = co_await exchange.ReadBody(
+        std::span(request.body).subspan(held), deadline);
     request.body.resize(held + chunk.size);
     context_.buffered_body_bytes -= kChunkBytes - chunk.size;
     if (chunk.failure != ExchangeFailure::kNone && request.is_given_up)
@@ -583,9 +597,7 @@
   }
   Answer answer = AnswerOf(request, result, exchange.head().version(),
                            exchange.keep_alive());
-  if (request.is_head && result.head->count("Content-Length") > 0)
-    answer.set(boost::beast::http::field::content_length,
-               result.head->at("Content-Length"));
+  SetFraming(request, result, answer);
   Recycle(end, MonotonicNow());
   const ExchangeFailure failure = co_await exchange.WriteAnswer(answer);
   RecordAnswer(request, status, MonotonicNow());
@@ -599,13 +611,18 @@
     Exchange& exchange,
     const GatewayRequest& request,
     CallResult& result) {
-  Answer full_answer = AnswerOf(request, result, exchange.head().version(),
-                                exchange.keep_alive());
+  const unsigned version = exchange.head().version();
   const auto length = result.connection->answer().content_length();
+  const bool is_chunked = !length && version >= kHttp11;
+  // Readers of earlier versions know no chunks.
+  if (!length && !is_chunked)
+    exchange.EndAfterAnswer();
+  Answer full_answer =
+      AnswerOf(request, result, version, exchange.keep_alive());
   if (length)
     full_answer.content_length(*length);
   else
-    full_answer.chunked(true);
+    full_answer.chunked(is_chunked);
   StreamedMessage<false> message(std::move(full_answer.base()));
   std::string chunk_bytes = std::move(result.body);
   bool last = false;
@@ -613,8 +630,10 @@
       co_await exchange.WritePart(message, chunk_bytes, false);
   while (failure == ExchangeFailure::kNone && !last) {
     chunk_bytes.resize(kChunkBytes);
+    exchange.WatchForClose([&result] { result.connection->Cancel(); });
     const BodyChunk chunk = co_await result.connection->ReadBody(
         chunk_bytes, BackendClient::AnswerDeadline(request));
+    exchange.StopWatching();
     failure = chunk.failure;
     last = chunk.last;
     if (failure == ExchangeFailure::kNone) {
--- a/src/comfreyvane/net/caller_exchange.h
+++ b/src/comfreyvane/net/caller_exchange.h
@@ -3,11 +3,13 @@
 #ifndef COMFREYVANE_NET_CALLER_EXCHANGE_H_
 #define COMFREYVANE_NET_CALLER_EXCHANGE_H_
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -27,6 +29,7 @@
 #include "comfreyvane/net/request_checks.h"
 #include "comfreyvane/net/streamed_message.h"
 #include "comfreyvane/net/watchdog.h"
+#include "comfreyvane/net/watched_stream.h"
 
 namespace comfreyvane {
 
@@ -46,7 +49,9 @@
       : stream_(std::move(stream)),
         limits_(limits),
         buffer_(limits.header_bytes + kReadBytes),
-        watchdog_(sweeper, [this] { CancelAll(); }) {}
+        watchdog_(sweeper, [this] { CancelAll(); }),
+        watched_(stream_, watchdog_),
+        close_timer_(stream_.get_executor()) {}
   CallerExchange(const CallerExchange&) = delete;
   CallerExchange& operator=(const CallerExchange&) = delete;
 
@@ -113,6 +118,10 @@
     return keep_alive_ && (is_answering_ || !is_leaving());
   }
 
+  /// Makes this request the last of its connection. Before an answer that only
+  /// the close ends.
+  void EndAfterAnswer() { keep_alive_ = false; }
+
   /// @param leaving once true, each request is the last of its connection;
   /// must outlive the exchange.
   void FollowLeaving(const bool& leaving) { leaving_ = &leaving; }
@@ -122,10 +131,14 @@
   }
   [[nodiscard]] bool chunked() const { return parser_->chunked(); }
 
-  [[nodiscard]] asio::awaitable<BodyChunk> ReadBody(std::span<char> into) {
-    watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
+  /// @param deadline when to give up even if bytes still come.
+  [[nodiscard]] asio::awaitable<BodyChunk> ReadBody(
+      std::span<char> into,
+      TimePoint deadline = TimePoint::max()) {
+    watchdog_.Arm(
+        std::min(deadline, MonotonicNow() + limits_.progress_timeout));
     const BodyChunk chunk =
-        co_await ReadChunk(stream_, buffer_, *parser_, into);
+        co_await ReadChunk(watched_, buffer_, *parser_, into);
     watchdog_.Disarm();
     co_return chunk;
   }
@@ -136,20 +149,31 @@
         "HTTP/1.1 100 Continue\r\n\r\n";
     watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
     const auto [error, size] =
-        co_await asio::async_write(stream_, asio::buffer(kContinue), kAwait);
+        co_await asio::async_write(watched_, asio::buffer(kContinue), kAwait);
     watchdog_.Disarm();
     co_return FailureOf(error);
   }
 
-  /// Writes a whole answer of the host's own.
+  /// Writes a whole answer; of one to a HEAD request, only the head.
+  /// @param answer with its framing fields set.
   [[nodiscard]] asio::awaitable<ExchangeFailure> WriteAnswer(Answer& answer) {
     BeginAnswer();
+    namespace http = boost::beast::http;
     watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
-    const auto [error, size] =
-        co_await boost::beast::http::async_write(stream_, answer, kAwait);
+    error_code result;
+    if (is_to_head()) {
+      http::response_serializer<http::string_body> serializer(answer);
+      const auto [error, size] =
+          co_await http::async_write_header(watched_, serializer, kAwait);
+      result = error;
+    } else {
+      const auto [error, size] =
+          co_await http::async_write(watched_, answer, kAwait);
+      result = error;
+    }
     watchdog_.Disarm();
     answered_at_ = MonotonicNow();
-    co_return FailureOf(error);
+    co_return FailureOf(result);
   }
 
   /// Writes a part of a backend server's answer.
@@ -160,7 +184,7 @@
     BeginAnswer();
     watchdog_.Arm(MonotonicNow() + limits_.progress_timeout);
     const ExchangeFailure failure =
-        co_await message.Write(stream_, chunk, last);
+        co_await message.Write(watched_, chunk, last);
     watchdog_.Disarm();
     answered_at_ = MonotonicNow();
     co_return failure;
@@ -175,6 +199,7 @@
   }
   void StopWatching() {
     ++watch_;
+    close_timer_.cancel();
     error_code ignored;
     socket().cancel(ignored);
   }
@@ -243,6 +268,7 @@
  private:
   static constexpr std::string_view kHeadEnd = "\r\n\r\n";
   static constexpr std::size_t kReadBytes = 4096;
+  static constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(50);
   static constexpr std::size_t kLingerBytes = 256 * 1024;
   static constexpr Duration kLingerTime = std::chrono::milliseconds(500);
 
@@ -266,6 +292,13 @@
     return socket().available(error) > 0;
   }
 
+  /// @return whether the request is a HEAD, as far as it can be read.
+  [[nodiscard]] bool is_to_head() const {
+    if (parser_ && parser_->is_header_done())
+      return head().method() == boost::beast::http::verb::head;
+    return Received().starts_with("HEAD ");
+  }
+
   [[nodiscard]] asio::awaitable<bool> ReadMore() {
     const bool first = buffer_.size() == 0;
     const std::size_t room =
@@ -276,7 +309,7 @@
       awaits_request_ = first;
       reads_head_ = true;
       const auto [error, size] =
-          co_await stream_.async_read_some(buffer_.prepare(room), kAwait);
+          co_await watched_.async_read_some(buffer_.prepare(room), kAwait);
       awaits_request_ = false;
       reads_head_ = false;
       if (!error) {
@@ -341,9 +374,32 @@
             on_closed();
           else if (ahead == ReadAhead::kTaken)
             AwaitReadable(watch, std::move(on_closed));
+          else
+            AwaitClose(watch, std::move(on_closed));
         });
   }
 
+  /// Looks regularly for a close behind bytes that are left on the socket.
+  void AwaitClose(int watch, std::function<void()> on_closed) {
+    close_timer_.expires_after(kCloseCheckInterval);
+    close_timer_.async_wait(
+        [this, watch, alive = std::weak_ptr<int>(alive_),
+         on_closed = std::move(on_closed)](const error_code& error) mutable {
+          if (error || alive.expired() || watch != watch_)
+            return;
+          if (HasCallerEnded())
+            on_closed();
+          else
+            AwaitClose(watch, std::move(on_closed));
+        });
+  }
+
+  /// @return whether the caller sends nothing more, even if bytes are unread.
+  [[nodiscard]] bool HasCallerEnded() {
+    pollfd state{socket().native_handle(), POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0;
+  }
+
   enum class ReadAhead { kClosed, kTaken, kLeft };
 
   /// Takes bytes of later requests off the socket, since a close behind unread
@@ -380,6 +436,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   Watchdog watchdog_;
+  WatchedStream<Stream> watched_;
+  asio::steady_timer close_timer_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   int watch_ = 0;
   bool keep_alive_ = false;
--- a/src/comfreyvane/net/http_client.cc
+++ b/src/comfreyvane/net/http_client.cc
@@ -9,9 +9,11 @@
 #include <cerrno>
 #include <utility>
 
+#include "comfreyvane/net/answer_checks.h"
 #include "comfreyvane/net/clock.h"
 #include "comfreyvane/net/liveness_options.h"
 #include "comfreyvane/net/timeout_sweeper.h"
+#include "comfreyvane/net/watched_stream.h"
 
 namespace comfreyvane {
 namespace {
@@ -19,6 +21,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint64_t kAnswerBytes = std::uint64_t{64} * 1024 * 1024;
+constexpr std::size_t kBufferBytes = 64 * 1024;
 constexpr std::size_t kIdleConnections = 4;
 constexpr unsigned kHttp11 = 11;
 
@@ -41,10 +44,14 @@
 
 struct HttpClient::Connection {
   Connection(asio::io_context& io, TimeoutSweeper& sweeper)
-      : socket(io), watchdog(sweeper, [this] {
-          error_code ignored;
-          socket.cancel(ignored);
-        }) {}
+      : socket(io),
+        buffer(kBufferBytes),
+        watchdog(sweeper,
+                 [this] {
+                   error_code ignored;
+                   socket.cancel(ignored);
+                 }),
+        stream(socket, watchdog) {}
 
   [[nodiscard]] bool IsStale() {
     char byte = 0;
@@ -56,6 +63,7 @@
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
   Watchdog watchdog;
+  WatchedStream<tcp::socket> stream;
 };
 
 HttpClient::HttpClient(asio::io_context& io,
@@ -113,7 +121,7 @@
   const auto request = ToRequest(std::move(call), server_);
   connection->watchdog.Arm(deadline);
   const auto [write_error, written] =
-      co_await http::async_write(connection->socket, request, kAwait);
+      co_await http::async_write(connection->stream, request, kAwait);
   if (write_error)
     co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
   http::response_parser<http::string_body> parser;
@@ -121,7 +129,7 @@
   const TimePoint last = on_progress ? deadline + kMaxTransferTime : deadline;
   while (!parser.is_done()) {
     const auto [error, size] = co_await http::async_read_some(
-        connection->socket, connection->buffer, parser, kAwait);
+        connection->stream, connection->buffer, parser, kAwait);
     const TimePoint now = MonotonicNow();
     if (error || now >= last)
       co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
@@ -132,7 +140,12 @@
         std::min(last, std::max(deadline, now + kStallTimeout)));
   }
   connection->watchdog.Disarm();
-  if (parser.get().keep_alive() && idle_.size() < kIdleConnections)
+  const auto& head = parser.get().base();
+  if (!IsAnswerHead(head) || IsInterim(head))
+    co_return HttpCallResult{HttpCallStatus::kNoAnswer, 0, {}};
+  // Bytes behind an answer belong to no call.
+  if (parser.get().keep_alive() && connection->buffer.size() == 0 &&
+      idle_.size() < kIdleConnections)
     idle_.push_back(std::move(connection));
   HttpCallResult result{HttpCallStatus::kAnswered, parser.get().result_int(),
                         std::move(parser.get().body())};
