--- a/tests/comfreyvane/edge/feed_fleet_test.cc
+++ b/tests/comfreyvane/edge/feed_fleet_test.cc
@@ -86,6 +86,24 @@
   }
 }
 
+Test(feed_fleet, calls_of_a_silences_last_moments_hold_back_later_versions) {
+  // Each phase of the calls, with a release between two later versions.
+  for (int span = 3000; span < 4200; span += 50) {
+    FeedFleet fleet(
+        {.hosts = 8, .domains = 6, .seed = static_cast<std::uint64_t>(span)});
+    fleet.Run(seconds(5));
+    fleet.SetSilent(true);
+    fleet.Run(milliseconds(span));
+    fleet.SetSilent(false);
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+    fleet.Touch(2);
+    fleet.Run(milliseconds(span / 2));
+    WriteVersions(fleet);
+    ExpectInForce(fleet);
+  }
+}
+
 Test(feed_fleet, follows_after_a_silence_of_one_table) {
   for (const StoreTable table : kAllStoreTables) {
     for (const int span : {200, 3200}) {
