--- a/tests/soak/soak_client.cc
+++ b/tests/soak/soak_client.cc
@@ -114,12 +114,17 @@
                         static_cast<ssize_t>(text.size());
   AnswerReader reader;
   bool is_behind_close = false;
+  bool is_given_up = false;
   for (RequestEnd& end : ends) {
     end.was_sent = was_sent;
     end.is_behind_close = is_behind_close;
+    end.is_abandoned = is_given_up;
     if (is_open())
       ReadAnswer(end, reader);
     is_behind_close = is_behind_close || (end.status != 0 && !is_open());
+    // The caller closes a connection with bytes that it cannot read.
+    is_given_up = is_given_up || end.is_unanswered ||
+                  (end.status == 0 && !end.foreign_bytes.empty());
     end.ended = MonotonicNow();
   }
   if (ends.back().status != 0)
