--- a/tests/platform/gateway_log_test.cc
+++ b/tests/platform/gateway_log_test.cc
@@ -58,7 +58,7 @@
   cr_assert_eq(mkfifo(log.c_str(), 0600), 0);
   // Programs inherit an ignored signal.
   std::signal(SIGPIPE, SIG_DFL);
-  const int reader = open(log.c_str(), O_RDONLY | O_NONBLOCK);
+  const int reader = open(log.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
   processes::ChildProcess process({COMFREYVANE_GATEWAY, "--settings", settings},
                                   log);
   // The other end is open once there are bytes.
--- a/tests/soak/rule_checks.cc
+++ b/tests/soak/rule_checks.cc
@@ -209,6 +209,11 @@
 }
 
 void RuleChecks::CheckServerLimits() {
+  const bool is_unused = std::ranges::all_of(
+      record_.limited_spans,
+      [](const LimitedSpan& span) { return span.arrivals.empty(); });
+  if (!record_.limited_spans.empty() && is_unused)
+    Fail("the servers with a limit", "got no request");
   for (const LimitedSpan& span : record_.limited_spans) {
     std::vector<TimePoint> times = span.arrivals;
     std::erase_if(times, [&](TimePoint time) {
