--- a/tests/comfreyvane/gateway/peer_link_test.cc
+++ b/tests/comfreyvane/gateway/peer_link_test.cc
@@ -69,7 +69,8 @@
       WorkspaceLimiter(settings.limits),
       1,
       CarrierPicker({"edge-1", "west", "west-a", "127.0.0.1:1", "127.0.0.1",
-                     settings.peers.port, 0.5})};
+                     settings.peers.port, 0.5}),
+      ConfigurationFreshness(settings.max_configuration_age)};
   TimeoutSweeper sweeper{io};
   GatewayDispatcher dispatcher{context, io};
   BackendClient client{context, io, sweeper};
