--- a/src/comfreyvane/gateway/heartbeat_bound.cc
+++ b/src/comfreyvane/gateway/heartbeat_bound.cc
@@ -24,8 +24,9 @@
   auto& requested = heartbeat.requested_tokens;
   if (!requested.empty()) {
     const auto first = heartbeat.sequence % requested.size();
-    std::ranges::rotate(requested,
-                        requested.begin() + static_cast<std::ptrdiff_t>(first));
+    std::rotate(requested.begin(),
+                requested.begin() + static_cast<std::ptrdiff_t>(first),
+                requested.end());
   }
 }
 
