Log an attempt that was not sent as withdrawn

What operators saw: 'attempt-ended' and 'request-carried' gave 'backend-connect-failed' as the reason of an attempt that was not sent since the server or the configuration had changed after the choice; the default reason of a result stood in the line, though no connect had failed.

The reason of an attempt is named in one place now, for both lines. Not tested by a case of its own.

--- a/src/comfreyvane/gateway/gateway_handler.cc
+++ b/src/comfreyvane/gateway/gateway_handler.cc
@@ -84,6 +84,13 @@
   return {text.data(), text.size()};
 }
 
+/// @return how an attempt ended, for the log.
+std::string_view EndName(const CallResult& result, bool is_answered) {
+  if (is_answered)
+    return "answered";
+  return result.was_withdrawn ? "withdrawn" : Name(result.reason);
+}
+
 }  // namespace
 
 GatewayRequest GatewayHandler::Start(const http::request_header<>& head,
@@ -398,8 +405,7 @@
        {"open_connection", result.used_open_connection},
        {"silence_ms", silence},
        {"status", result.head ? result.head->result_int() : 0U},
-       {"reason",
-        result.head ? std::string_view("answered") : Name(result.reason)},
+       {"reason", EndName(result, result.head.has_value())},
        {"limit", result.notice ? result.notice->limit.rate : 0.0},
        {"server_leaving", result.notice && result.notice->is_leaving},
        {"held_back_by", NameOf(choice.held_back_by)},
@@ -433,9 +439,7 @@
        {"run", result.run_state},
        {"open_connection", result.used_open_connection},
        {"status", result.head ? result.head->result_int() : 0U},
-       {"reason", result.run_state == RunState::kRan
-                      ? std::string_view("answered")
-                      : Name(result.reason)},
+       {"reason", EndName(result, result.run_state == RunState::kRan)},
        {"attempts", result.carrier_attempts},
        {"waited_ms", now - request.started - latency},
        {"took_ms", latency}});
