A failure of a silent call no longer delays the next call

What callers saw: after a silence of the store, a version was in force and requests bound to regions were sent later than docs/edge.md states (1,050 ms after the store's return).

Cause: a call that is silent is joined by another after 450 ms and a pause of up to 600 ms. When the silent one fails at its timeout, OnFailure replaced the time planned for the next call by one counted from the failure.

A call that fails without a planned successor is followed after the pause as before. The new test was red without the change.

--- a/src/comfreyvane/edge/feed_schedule.cc
+++ b/src/comfreyvane/edge/feed_schedule.cc
@@ -133,7 +133,12 @@
 void FeedSchedule::OnFailure(TableProgress& progress, TimePoint now) {
   ++progress.failures;
   progress.is_current = false;
-  progress.next_call_at = now + RetryPause(progress.failures);
+  const TimePoint retry = now + RetryPause(progress.failures);
+  // The failure of a call that was silent does not delay the one that is
+  // planned in its place.
+  progress.next_call_at = progress.next_call_at > now
+                              ? std::min(progress.next_call_at, retry)
+                              : retry;
 }
 
 void FeedSchedule::OnProgress(StoreTable table,
--- a/tests/comfreyvane/edge/feed_schedule_test.cc
+++ b/tests/comfreyvane/edge/feed_schedule_test.cc
@@ -104,6 +104,29 @@
   cr_expect(calls >= 8, "%d calls", calls);
 }
 
+Test(feed_schedule, the_failure_of_a_silent_call_delays_the_next_one) {
+  constexpr Duration kTimeout = seconds(1);
+  // The longest pause.
+  constexpr Duration kMaxGap =
+      FeedSchedule::kCheckWait + FeedSchedule::kPatience + milliseconds(600);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FeedSchedule schedule(seed);
+    std::vector<FeedCall> open = {ReadAll(schedule, kStart)[IndexOf(kTable)]};
+    for (TimePoint now = kStart; now < kStart + seconds(10);
+         now += milliseconds(5)) {
+      const Duration gap = now - open.back().begun;
+      cr_expect(open.size() == 1 || gap <= kMaxGap + milliseconds(5));
+      for (const FeedCall& call : open) {
+        if (call.begun + call.wait + kTimeout == now)
+          static_cast<void>(schedule.OnAnswer(
+              kTable, call, Failure(TableStatus::kUnknown), now));
+      }
+      if (schedule.NextCallAt(kTable, now) <= now)
+        open.push_back(schedule.Begin(kTable, now));
+    }
+  }
+}
+
 Test(feed_schedule, rereads_all_tables_after_a_restore) {
   FeedSchedule schedule(1);
   const auto held = ReadAll(schedule, kStart);
