Report the end of a limit also when its reporters are gone

What callers saw: with the senders of a limited server gone, the first host of the order heard after 10 s that the server has no limit any more, but the other hosts kept theirs until each had asked by itself.

Cause: only the first two hosts of the ranking report a limit and its end. They are senders too, so what ends senders ends the reports.

Why it works: a host that heard the end tells the reporters for two seconds as before. If none of them has reported it by then, it tells all hosts for the rest of the ten seconds. With live reporters there is no further message. The new test was red without the change; that the sum of all hosts keeps a limit is tested by server_limit_fleet as before.

--- a/src/comfreyvane/edge/server_limit.cc
+++ b/src/comfreyvane/edge/server_limit.cc
@@ -59,6 +59,9 @@
 
 LimitChange ServerLimit::OnReport(const LimitReport& report, TimePoint now) {
   const TimePoint heard_at = now - report.age;
+  // An end that another host reports is no news any more.
+  if (!report.rate && !is_named_)
+    news_at_ = TimePoint{};
   if (heard_at <= heard_at_)
     return {};
   Refill(now);
@@ -149,9 +152,13 @@
 }
 
 bool ServerLimit::IsReporter(TimePoint now) const {
-  const bool is_told = is_named_ || (heard_at_ != TimePoint{} &&
-                                     now - heard_at_ < kExpiryReportLifetime);
-  return is_told && rank_.rank < kReporters;
+  const auto is_recent = [now](TimePoint event) {
+    return event != TimePoint{} && now - event < kExpiryReportLifetime;
+  };
+  if (rank_.rank < kReporters)
+    return is_named_ || is_recent(heard_at_);
+  // The reporters have been told and are silent: they may be gone.
+  return !is_named_ && is_recent(news_at_) && !IsNews(now);
 }
 
 bool ServerLimit::IsNews(TimePoint now) const {
--- a/tests/comfreyvane/edge/server_limit_test.cc
+++ b/tests/comfreyvane/edge/server_limit_test.cc
@@ -159,3 +159,18 @@
   cr_expect(limit.IsReporter(kStart + seconds(40)));
   cr_expect(!limit.IsReporter(kStart + seconds(42)));
 }
+
+Test(server_limit, its_end_is_reported_only_by_the_first_hosts) {
+  for (const bool is_reported : {false, true}) {
+    ServerLimit limit;
+    limit.SetRank({.rank = 7, .hosts = 8}, kStart);
+    static_cast<void>(limit.OnAnswer(Limit(0.3), kStart, kStart));
+    const TimePoint ended = kStart + seconds(60);
+    static_cast<void>(limit.OnAnswer(kNoLimit, ended - seconds(1), ended));
+    if (is_reported)
+      static_cast<void>(limit.OnReport({}, ended + seconds(1)));
+    cr_expect(!limit.IsReporter(ended + seconds(1)), "the first are told");
+    cr_expect(limit.IsReporter(ended + seconds(2)) == !is_reported);
+    cr_expect(!limit.IsReporter(ended + seconds(10)));
+  }
+}
