Test that each closing state ends by itself

This adds those that were missing: stated wait, ejection (time, shed, path that is back), cold server, evacuation taken back, entry that returns and later incarnation, suspended overflow, named limit with and without its senders, and requests held back by an unconfirmed configuration after a silent store, one that refuses, and a freeze. States of one host alone are marked so; the path and overflow are played at one host. The end of a relay's backoff is tested in fleet_view_test.

--- a/tests/support/feed_fleet.h
+++ b/tests/support/feed_fleet.h
@@ -83,6 +83,12 @@
         hosts_[host]->schedule->ConfirmedAt(StoreTable::kOperator));
     return freshness.MaySendBound(now_);
   }
+  [[nodiscard]] std::size_t HostsThatMaySendBound() const {
+    std::size_t hosts = 0;
+    for (std::size_t i = 0; i < size(); ++i)
+      hosts += MaySendBound(i) ? 1 : 0;
+    return hosts;
+  }
 
   void Run(Duration span) {
     const TimePoint end = now_ + span;
--- a/tests/support/limited_fleet.h
+++ b/tests/support/limited_fleet.h
@@ -97,6 +97,17 @@
     hosts_[host]->frozen_until = now_ + span;
   }
 
+  /// The same for the first hosts in the order for a server.
+  void FreezeFirst(std::size_t server, std::size_t count, Duration span) {
+    const BackendEntry& entry = servers_[server].entry;
+    for (const auto& host : hosts_) {
+      const LimitRank rank = host->view.LimitRankFor(
+          entry.id(), entry.failure_domain, false, now_);
+      if (rank.rank < count)
+        FreezeHost(host->index, span);
+    }
+  }
+
   /// Stops or resumes all messages between a host and the others.
   void CutFromPeers(std::size_t host, bool is_cut) {
     hosts_[host]->is_cut = is_cut;
@@ -141,6 +152,15 @@
         std::lower_bound(arrivals.begin(), arrivals.end(), now_ - span));
   }
 
+  /// @return hosts that are not frozen and know a limit of a server.
+  [[nodiscard]] std::size_t LimitedHosts(std::size_t server) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(hosts_, [&](const auto& host) {
+          return now_ >= host->frozen_until &&
+                 host->picker.LimitOf(servers_[server].entry.id()).has_value();
+        }));
+  }
+
   [[nodiscard]] std::size_t refused() const { return refused_; }
   [[nodiscard]] std::size_t served() const { return served_; }
 
