Do not let two reports keep a limit young

What callers saw: a server whose limit lets no sender through is asked once a minute, by the first host of the order. That request came later the longer messages between hosts take, and the limit ended as much later.

Cause: a host counts a report's age from its arrival, so the answer seems younger by the time under way. Two reporters accepted each other's report as newer at each heartbeat, and the silence of the server was cut each time.

Evidence: two hosts with a limit of 0, reports each 500 ms.

Why it works: a report of the known limit counts only if it is newer by more than a second, more than a message is under way. Changes and the end count as before. The silence is taken for at most a second longer, of 10 s and more. The new test was red without the change.

--- a/src/comfreyvane/edge/server_limit.cc
+++ b/src/comfreyvane/edge/server_limit.cc
@@ -21,6 +21,8 @@
 
 /// Time for which a change is told, several intervals of messages to peers.
 constexpr Duration kNewsLifetime = std::chrono::seconds(2);
+/// Maximum time for which a report is under way.
+constexpr Duration kMaxTransit = std::chrono::seconds(1);
 constexpr Duration kExpiryReportLifetime = std::chrono::seconds(10);
 
 Duration FromSeconds(double seconds) {
@@ -62,7 +64,10 @@
   // An end that another host reports is no news any more.
   if (!report.rate && !is_named_)
     news_at_ = TimePoint{};
-  if (heard_at <= heard_at_)
+  // A report seems younger by the time that it was under way, so hosts that
+  // report to each other what they know would never take a server for silent.
+  const bool is_known = is_named_ && report.rate == rate_;
+  if (heard_at <= heard_at_ + (is_known ? kMaxTransit : Duration::zero()))
     return {};
   Refill(now);
   return Set(report.rate, heard_at);
--- a/tests/comfreyvane/edge/server_limit_test.cc
+++ b/tests/comfreyvane/edge/server_limit_test.cc
@@ -1,6 +1,9 @@
 #include "comfreyvane/edge/server_limit.h"
 
+#include <array>
 #include <cmath>
+#include <deque>
+#include <utility>
 
 #include "support/criterion.h"
 
@@ -174,3 +177,29 @@
     cr_expect(!limit.IsReporter(ended + seconds(10)));
   }
 }
+
+Test(server_limit, two_hosts_keep_what_they_report_to_each_other_young) {
+  for (const Duration transit :
+       {milliseconds(10), milliseconds(100), milliseconds(250)}) {
+    std::array<ServerLimit, 2> limits;
+    std::array<std::deque<std::pair<TimePoint, LimitReport>>, 2> under_way;
+    for (std::size_t i = 0; i < limits.size(); ++i) {
+      limits[i].SetRank({.rank = i, .hosts = 2}, kStart);
+      static_cast<void>(limits[i].OnAnswer(Limit(0), kStart, kStart));
+    }
+    for (int step = 1; step < 6000; ++step) {
+      const TimePoint now = kStart + milliseconds(10) * step;
+      for (std::size_t i = 0; i < limits.size(); ++i) {
+        while (!under_way[i].empty() && under_way[i].front().first <= now) {
+          static_cast<void>(
+              limits[i].OnReport(under_way[i].front().second, now));
+          under_way[i].pop_front();
+        }
+        if ((step + 25 * i) % 50 == 0)
+          under_way[1 - i].emplace_back(now + transit, limits[i].Report(now));
+        cr_expect(!limits[i].CanSend(now));
+      }
+    }
+    cr_expect(limits[0].CanSend(kStart + seconds(60)));
+  }
+}
