--- a/src/comfreyvane/edge/server_limit.cc
+++ b/src/comfreyvane/edge/server_limit.cc
@@ -21,6 +21,8 @@
 
 /// Time for which a change is told, several intervals of messages to peers.
 constexpr Duration kNewsLifetime = std::chrono::seconds(2);
+/// Maximum time for which a report is under way.
+constexpr Duration kMaxTransit = std::chrono::seconds(1);
 constexpr Duration kExpiryReportLifetime = std::chrono::seconds(10);
 
 Duration FromSeconds(double seconds) {
@@ -59,7 +61,13 @@
 
 LimitChange ServerLimit::OnReport(const LimitReport& report, TimePoint now) {
   const TimePoint heard_at = now - report.age;
-  if (heard_at <= heard_at_)
+  // An end that another host reports is no news any more.
+  if (!report.rate && !is_named_)
+    news_at_ = TimePoint{};
+  // A report seems younger by the time that it was under way, so hosts that
+  // report to each other what they know would never take a server for silent.
+  const bool is_known = is_named_ && report.rate == rate_;
+  if (heard_at <= heard_at_ + (is_known ? kMaxTransit : Duration::zero()))
     return {};
   Refill(now);
   return Set(report.rate, heard_at);
@@ -149,9 +157,13 @@
 }
 
 bool ServerLimit::IsReporter(TimePoint now) const {
-  const bool is_told = is_named_ || (heard_at_ != TimePoint{} &&
-                                     now - heard_at_ < kExpiryReportLifetime);
-  return is_told && rank_.rank < kReporters;
+  const auto is_recent = [now](TimePoint event) {
+    return event != TimePoint{} && now - event < kExpiryReportLifetime;
+  };
+  if (rank_.rank < kReporters)
+    return is_named_ || is_recent(heard_at_);
+  // The reporters have been told and are silent: they may be gone.
+  return !is_named_ && is_recent(news_at_) && !IsNews(now);
 }
 
 bool ServerLimit::IsNews(TimePoint now) const {
