Soak: count a server's limit from the first answer that names it

Cause: the check counted from 4 s after the server was made. Fleets of 40 hosts start for 4.6 s before callers send anything, so that the window held the first requests of all hosts, to none of which the server had named its limit. With 4 hosts, callers begin after 3.2 s, so that the requests of their first 0.8 s were not counted.

The rule counts requests of hosts that the server has told, from 3 s after it names a limit on. The check now counts

- from 3 s (was 4 s) after the first answer that names the limit, all requests, also of hosts that were started again and have not been told;
- before that, where nothing was counted, and without faults near, those of hosts that were told 200 ms earlier since their last start.

What it no longer counts are requests of hosts that were not told, from 4 s after the server was made to 3 s after its first answer. It prints the fullest window, and who sent what was too much.

--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -252,6 +252,16 @@
   });
 }
 
+std::optional<TimePoint> FaultSchedule::StartedAgain(std::size_t host,
+                                                     TimePoint at) const {
+  std::optional<TimePoint> last;
+  for (const HostSpan& stop : stops_) {
+    if (stop.host == host && stop.span.end <= at)
+      last = std::max(last.value_or(stop.span.end), stop.span.end);
+  }
+  return last;
+}
+
 bool FaultSchedule::IsHarmed(std::size_t host,
                              TimePoint begin,
                              TimePoint end) const {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -45,6 +45,11 @@
                           TimePoint begin,
                           TimePoint end) const;
 
+  /// @return when a host was last started again before a moment; nothing if it
+  ///     was not.
+  [[nodiscard]] std::optional<TimePoint> StartedAgain(std::size_t host,
+                                                      TimePoint at) const;
+
   /// @return whether a host's process was killed or paused within a span.
   [[nodiscard]] bool IsHarmed(std::size_t host,
                               TimePoint begin,
--- a/tests/soak/rule_checks.cc
+++ b/tests/soak/rule_checks.cc
@@ -22,9 +22,11 @@
 constexpr double kOverage = 0.1;
 constexpr double kSlack = 20.0;
 
-/// Bound of the limit that a server names: the time until it must be kept, the
-/// window, and what may come beyond the limit.
-constexpr Duration kLimitSettling = seconds(4);
+/// Bound of the limit that a server names: the time from the first answer that
+/// names it until all hosts must keep it, the time in which a host reads such
+/// an answer, the window, and what may come beyond the limit.
+constexpr Duration kLimitSettling = seconds(3);
+constexpr Duration kToldSlack = milliseconds(200);
 constexpr Duration kLimitWindow = seconds(4);
 constexpr double kLimitTolerance = 1.5;
 constexpr double kLimitSlack = 5.0;
@@ -80,7 +82,7 @@
   CheckServed(ends);
   CheckCuts(ends);
   CheckLateArrivals(ends);
-  CheckServerLimits();
+  CheckServerLimits(ends);
   CheckRate(rate, burst);
 }
 
@@ -208,28 +210,76 @@
   }
 }
 
-void RuleChecks::CheckServerLimits() {
+void RuleChecks::CheckServerLimits(const std::vector<RequestEnd>& ends) {
   const bool is_unused = std::ranges::all_of(
       record_.limited_spans,
       [](const LimitedSpan& span) { return span.arrivals.empty(); });
   if (!record_.limited_spans.empty() && is_unused)
     Fail("the servers with a limit", "got no request");
+  EndsById by_id;
+  for (const RequestEnd& end : ends)
+    by_id.emplace(end.request.id, &end);
   for (const LimitedSpan& span : record_.limited_spans) {
-    std::vector<TimePoint> times = span.arrivals;
-    std::erase_if(times, [&](TimePoint time) {
-      return time < span.named_at + kLimitSettling;
+    std::vector<LimitedRequest> arrivals = span.arrivals;
+    std::erase_if(arrivals, [&](const LimitedRequest& arrival) {
+      return !IsBound(arrival, span, by_id);
     });
+    std::vector<TimePoint> times;
+    for (const LimitedRequest& arrival : arrivals)
+      times.push_back(arrival.at);
     const auto most = static_cast<std::size_t>(
         kLimitTolerance * span.limit * Seconds(kLimitWindow) + kLimitSlack);
     const std::size_t worst = FullestWindow(times, kLimitWindow);
+    std::printf("requests in the fullest window of a limit: %zu of %zu\n",
+                worst, most);
     if (worst > most) {
       Fail("a server's limit of " + std::to_string(span.limit),
            "was exceeded: " + std::to_string(worst) + " of " +
                std::to_string(most));
+      PrintSenders(arrivals, by_id);
     }
   }
 }
 
+bool RuleChecks::IsBound(const LimitedRequest& arrival,
+                         const LimitedSpan& span,
+                         const EndsById& ends) const {
+  if (span.answers.empty())
+    return false;
+  if (arrival.at >= span.answers.front().at + kLimitSettling)
+    return true;
+  const auto end = ends.find(arrival.id);
+  if (end == ends.end())
+    return false;
+  const std::size_t host = end->second->host;
+  const TimePoint start =
+      schedule_.StartedAgain(host, arrival.at).value_or(TimePoint{});
+  return std::ranges::any_of(span.answers, [&](const LimitedRequest& answer) {
+    const auto told = ends.find(answer.id);
+    return told != ends.end() && told->second->host == host &&
+           answer.at >= start && answer.at + kToldSlack <= arrival.at &&
+           schedule_.IsCalm(answer.at, arrival.at);
+  });
+}
+
+void RuleChecks::PrintSenders(const std::vector<LimitedRequest>& arrivals,
+                              const EndsById& ends) const {
+  for (const LimitedRequest& arrival : arrivals) {
+    const auto end = ends.find(arrival.id);
+    if (end == ends.end())
+      continue;
+    const std::size_t host = end->second->host;
+    const auto start = schedule_.StartedAgain(host, arrival.at);
+    const std::string age =
+        start ? ", started " + std::to_string(Seconds(arrival.at - *start)) +
+                    " s before"
+              : "";
+    std::printf("  %.3f s: %s of host %zu%s\n",
+                Seconds(arrival.at - arrivals.front().at), arrival.id.c_str(),
+                host, age.c_str());
+  }
+}
+
 void RuleChecks::CheckRate(double rate, double burst) {
   const auto most = static_cast<std::size_t>(
       (rate * Seconds(kWindow) + burst) * (1.0 + kOverage) + kSlack);
--- a/tests/soak/rule_checks.h
+++ b/tests/soak/rule_checks.h
@@ -34,6 +34,8 @@
   [[nodiscard]] std::size_t excused_runs() const { return excused_runs_; }
 
  private:
+  using EndsById = std::map<std::string, const RequestEnd*>;
+
   void CheckEnd(const RequestEnd& end);
   void CheckRegions(const RequestEnd& end, const std::vector<Run>& runs);
   /// Checks that requests at hosts in good order are served, in spans of 2 s.
@@ -41,7 +43,16 @@
   /// Checks that no kept connection is closed behind a request that ran.
   void CheckCuts(const std::vector<RequestEnd>& ends);
   void CheckLateArrivals(const std::vector<RequestEnd>& ends);
-  void CheckServerLimits();
+  void CheckServerLimits(const std::vector<RequestEnd>& ends);
+  /// @return whether a request counts against a server's limit: it came some
+  ///     time after the first answer that named it, or from a host that the
+  ///     server had told since the host's last start.
+  [[nodiscard]] bool IsBound(const LimitedRequest& arrival,
+                             const LimitedSpan& span,
+                             const EndsById& ends) const;
+  /// Prints which hosts sent requests, and for how long they had run.
+  void PrintSenders(const std::vector<LimitedRequest>& arrivals,
+                    const EndsById& ends) const;
   void CheckRate(double rate, double burst);
 
   /// @return whether a request was read and ends without its answer for the
--- a/tests/soak/run_record.h
+++ b/tests/soak/run_record.h
@@ -32,11 +32,20 @@
   friend bool operator==(const LateArrival&, const LateArrival&) = default;
 };
 
-/// A span in which a server named a limit, and the requests that it got.
+/// A request that a server with a limit got or answered.
+struct LimitedRequest {
+  TimePoint at{};
+  std::string id;
+
+  friend bool operator==(const LimitedRequest&,
+                         const LimitedRequest&) = default;
+};
+
+/// A span in which a server had a limit, and the requests that it got.
 struct LimitedSpan {
   double limit = 0.0;  ///< In requests/s.
-  TimePoint named_at{};
-  std::vector<TimePoint> arrivals;
+  std::vector<LimitedRequest> arrivals;
+  std::vector<LimitedRequest> answers;  ///< That named it, probes' too.
 
   friend bool operator==(const LimitedSpan&, const LimitedSpan&) = default;
 };
--- a/tests/soak/soak_server.cc
+++ b/tests/soak/soak_server.cc
@@ -85,7 +85,7 @@
     return;
   const std::lock_guard lock(record_.mutex);
   limited_span_ = record_.limited_spans.size();
-  record_.limited_spans.push_back({*limit, MonotonicNow(), {}});
+  record_.limited_spans.push_back({*limit, {}, {}});
 }
 
 asio::awaitable<void> SoakServer::Accept() {
@@ -308,14 +308,18 @@
 }
 
 std::string SoakServer::HeadOf(const std::string& status,
-                               const std::string& id) const {
+                               const std::string& id) {
   std::string head = "HTTP/1.1 " + status + "\r\nX-Request-Id: " + id +
                      "\r\nX-Server-Seal: seal\r\nX-Instance-Id: " + name_ +
                      "\r\nX-Server-Load: " + std::to_string(running_) + "," +
                      std::to_string(waiting_) + "," + std::to_string(slots_) +
                      "\r\n";
-  if (limit_)
+  if (limit_) {
     head += "Server-Limit: " + std::to_string(*limit_) + "\r\n";
+    const std::lock_guard lock(record_.mutex);
+    record_.limited_spans[limited_span_].answers.push_back(
+        {MonotonicNow(), id});
+  }
   if (is_odd_ && left_at_)
     head += "Server-Leaving: 1\r\n";
   return head;
@@ -324,7 +328,7 @@
 std::string SoakServer::Whole(const std::string& status,
                               const std::string& id,
                               const std::string& body,
-                              bool is_head) const {
+                              bool is_head) {
   return HeadOf(status, id) + "Content-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + (is_head ? "" : body);
 }
@@ -339,7 +343,7 @@
   const TimePoint now = MonotonicNow();
   const std::lock_guard lock(record_.mutex);
   if (limit_)
-    record_.limited_spans[limited_span_].arrivals.push_back(now);
+    record_.limited_spans[limited_span_].arrivals.push_back({now, id});
   if (left_at_ && now > *left_at_ + kDrainBound)
     record_.late_arrivals.push_back({id, name_, now, *left_at_});
 }
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -100,13 +100,14 @@
   asio::awaitable<bool> WaitForSlot(TimePoint expiry);
 
   [[nodiscard]] Conduct DrawConduct();
+  /// @return the head of an answer, which names the limit from now on.
   [[nodiscard]] std::string HeadOf(const std::string& status,
-                                   const std::string& id) const;
+                                   const std::string& id);
   /// @return a whole answer of the server.
   [[nodiscard]] std::string Whole(const std::string& status,
                                   const std::string& id,
                                   const std::string& body,
-                                  bool is_head) const;
+                                  bool is_head);
   [[nodiscard]] std::string Refusal(const std::string& status,
                                     const std::string& id) const;
   void NoteArrival(const std::string& id);
