Soak: tell a host that failed at a stop from one that stopped late

Both were printed as "did not stop within its grace period". Both are violations as before.

Evidence: with a program that SIGTERM ends in half of the hosts, the soak prints that hosts 1 and 3 failed at a stop; with one that ignores it, that host 1 did not stop within its grace period.

--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -148,9 +148,12 @@
   }
   if (is_late)
     fleet_.Signal(host, SIGKILL);
-  if (!fleet_.Join(host) || is_late) {
+  const bool has_succeeded = fleet_.Join(host);
+  if (is_late) {
     violations_.insert("host " + std::to_string(host) +
                        " did not stop within its grace period");
+  } else if (!has_succeeded) {
+    violations_.insert("host " + std::to_string(host) + " failed at a stop");
   }
   Later(now + Between(0, 1500), [this, host] { Restart(host); });
 }
