--- a/tests/soak/fault_schedule.cc
+++ b/tests/soak/fault_schedule.cc
@@ -148,9 +148,12 @@
   }
   if (is_late)
     fleet_.Signal(host, SIGKILL);
-  if (!fleet_.Join(host) || is_late) {
+  const bool has_succeeded = fleet_.Join(host);
+  if (is_late) {
     violations_.insert("host " + std::to_string(host) +
                        " did not stop within its grace period");
+  } else if (!has_succeeded) {
+    violations_.insert("host " + std::to_string(host) + " failed at a stop");
   }
   Later(now + Between(0, 1500), [this, host] { Restart(host); });
 }
@@ -252,6 +255,16 @@
   });
 }
 
+std::optional<TimePoint> FaultSchedule::StartedAgain(std::size_t host,
+                                                     TimePoint at) const {
+  std::optional<TimePoint> last;
+  for (const HostSpan& stop : stops_) {
+    if (stop.host == host && stop.span.end <= at)
+      last = std::max(last.value_or(stop.span.end), stop.span.end);
+  }
+  return last;
+}
+
 bool FaultSchedule::IsHarmed(std::size_t host,
                              TimePoint begin,
                              TimePoint end) const {
