Build: keep the compilers of the largest units to half of the memory

A newcomer on 8 processors and 24 GB saw the compiler killed in tests/platform (limited_path_test.cc, framing_test.cc): Ninja starts ten compilers there, and 13 units of that folder take over 2.4 GiB each. Ten of them are more than the machine has, if their peaks meet.

Make knows no pools; with it `-j` bounds the jobs.

The largest compilers: stranded_hosts_test.cc 2,708 MiB, limited_path_test.cc 2,668, framing_test.cc 2,641, gateway_main.cc 2,491.

--- a/cmake/ComfreyvanePackage.cmake
+++ b/cmake/ComfreyvanePackage.cmake
@@ -11,6 +11,20 @@
 option(COMFREYVANE_ASAN "Build with address and undefined sanitizers" OFF)
 option(COMFREYVANE_TSAN "Build with the thread sanitizer" OFF)
 
+# Units that include the whole gateway take about 3 GB each to compile: this
+# pool keeps them to half of the machine's memory.
+cmake_host_system_information(RESULT memory_mib QUERY TOTAL_PHYSICAL_MEMORY)
+math(EXPR large_unit_jobs "${memory_mib} / 2 / 3072")
+if(large_unit_jobs LESS 1)
+  set(large_unit_jobs 1)
+endif()
+set_property(GLOBAL APPEND PROPERTY JOB_POOLS comfreyvane_large_units=${large_unit_jobs})
+
+# comfreyvane_large_units(TARGET) puts the compilers of a target into that pool.
+function(comfreyvane_large_units target)
+  set_target_properties(${target} PROPERTIES JOB_POOL_COMPILE comfreyvane_large_units)
+endfunction()
+
 add_library(comfreyvane_options INTERFACE)
 target_compile_options(comfreyvane_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
 # False: GCC inlines Asio's operator new to aligned_alloc and calls its operator delete, which frees.
